Route around a target whose node is lost

Cause: a zone with one catalogue target kept choosing it after it was killed: the directory called it alive, tried targets were only left out of the first group, and other zones' targets were never considered while the own zone had one. Ruled out: the retry bound (retries were spent, all on the dead target). Change: a lost connection makes a target unusable until it is up again; targets not tried go first, then the own zone's, then the others'.

--- a/src/pimentoscale/routing/targets.py
+++ b/src/pimentoscale/routing/targets.py
@@ -1,7 +1,7 @@
 """What a node knows of the targets of one service."""
 
 import math
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from dataclasses import dataclass, field
 
 from pimentoscale.admission import Load
@@ -119,13 +119,29 @@
         """Return a target by its instance."""
         return self._targets.get(instance)
 
-    def list_usable(self, *, zone: str, now: float) -> list[Target]:
-        """Return those that take new work: of this zone, or of all if it has none."""
-        usable = [item for item in self._targets.values() if item.takes_new_work()]
-        own = [target for target in usable if target.zone == zone]
-        pool = own or usable
-        quick = [target for target in pool if not target.is_on_probation(now=now)]
-        return quick or pool
+    def list_usable(self) -> list[Target]:
+        """Return those that take new work."""
+        return [item for item in self._targets.values() if item.takes_new_work()]
+
+    def list_candidates(
+        self, *, zone: str, importance: int, tried: Container[str], now: float
+    ) -> list[Target]:
+        """Return the best group of targets to choose from; empty if none admits.
+
+        Targets not tried yet go before those tried, the own zone's before the
+        others', and those on probation come last in each group.
+        """
+        admitting = [
+            item for item in self.list_usable() if item.admits(importance, now=now)
+        ]
+        fresh = [item for item in admitting if item.instance not in tried]
+        pool = fresh or admitting
+        own = [item for item in pool if item.zone == zone]
+        for group in (own, pool):
+            quick = [item for item in group if not item.is_on_probation(now=now)]
+            if quick:
+                return quick
+        return pool
 
     def judge(self, target: Target, *, kind: str, policy: Policy, now: float) -> bool:
         """Put a straggler on probation; return True if that was done.
--- a/src/pimentoscale/serving/router.py
+++ b/src/pimentoscale/serving/router.py
@@ -17,7 +17,7 @@
 from pimentoscale.serving.peers import Lane, PeerBook
 from pimentoscale.serving.runner import UpstreamRunner
 from pimentoscale.serving.state import NodeState
-from pimentoscale.stream import Peer, PeerLostError, PeerUnreachableError
+from pimentoscale.stream import Hello, Peer, PeerLostError, PeerUnreachableError
 from pimentoscale.timeline import EventName
 
 ANSWER_MARGIN_S = 0.25
@@ -68,6 +68,8 @@
         self._services: dict[str, Targets] = {}
         self._source = source
         self._choice = make_choice(name=state.mode.target_choice, source=source)
+        peers.up_watchers.append(self._note_up)
+        peers.down_watchers.append(self._note_down)
 
     def note_member(self, member: Member) -> None:
         """Take over a word on a member."""
@@ -83,6 +85,22 @@
             if found is not None:
                 found.is_draining = True
 
+    def _note_up(self, remote: Hello, peer: Peer) -> None:
+        target = self._find_target(remote.instance)
+        if target is not None:
+            target.is_usable = True
+
+    def _note_down(self, peer: Peer) -> None:
+        """Take a target out as soon as a connection to its node is lost."""
+        target = self._find_target(self._peers.find_instance(peer) or "")
+        if target is not None:
+            target.is_usable = False
+
+    def _find_target(self, instance: str) -> Target | None:
+        member = self._state.directory.find(instance=instance)
+        targets = self._services.get(member.service) if member else None
+        return targets.find(instance=instance) if targets else None
+
     def list_targets(self) -> list[Target]:
         """Return all targets, for operators."""
         return [target for targets in self._services.values() for target in targets]
@@ -137,22 +155,27 @@
 
     def _choose(self, journey: _Journey, now: float) -> Target | CallError:
         targets = self._services.get(journey.kind.service)
-        usable = targets.list_usable(zone=self._state.zone, now=now) if targets else []
-        if not usable:
+        usable = targets.list_usable() if targets else []
+        if targets is None or not usable:
             return CallError(kind=ErrorKind.NO_TARGET)
-        fresh = [item for item in usable if item.instance not in journey.tried]
-        pool = fresh or usable
-        importance = journey.kind.importance
-        admitting = [item for item in pool if item.admits(importance, now=now)]
-        if not admitting and not self._state.mode.in_order_of_arrival:
-            return _refuse_early(pool)
+        if self._state.mode.in_order_of_arrival:
+            pool = usable
+        else:
+            pool = targets.list_candidates(
+                zone=self._state.zone,
+                importance=journey.kind.importance,
+                tried=journey.tried,
+                now=now,
+            )
+        if not pool:
+            return _refuse_early(usable)
         policy = self._state.configuration.policy
         request = ChoiceRequest(
             kind=journey.context.kind,
             zone=self._state.zone,
             out_of_zone_ms=policy.out_of_zone_ms,
         )
-        return self._choice.choose(admitting or pool, request, now=now)
+        return self._choice.choose(pool, request, now=now)
 
     async def _attempt_here(self, journey: _Journey, target: Target) -> Answer:
         loop = asyncio.get_running_loop()
