--- a/src/pimentoscale_bench/experiments.py
+++ b/src/pimentoscale_bench/experiments.py
@@ -22,7 +22,7 @@
 
 
 Experiment = Callable[[ExperimentRequest], Awaitable[ExperimentReport]]
-MODULES = ("mixed",)
+MODULES = ("mixed", "holds")
 _EXPERIMENTS: dict[str, Experiment] = {}
 
 
--- a/src/pimentoscale_bench/fleet.py
+++ b/src/pimentoscale_bench/fleet.py
@@ -22,18 +22,21 @@
 from pimentoscale.settings import Address
 from pimentoscale_bench.deployment import (
     PLATFORM_PORT,
+    STREAM_PORT,
     TICKET_SECRET,
     Deployment,
     InstancePlan,
     make_patch,
     plan_instances,
 )
+from pimentoscale_bench.relay import Relay, RelayMesh
 
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.05
 STOP_TIMEOUT_S = 15.0
 LANES = 200
 FIRST_LANE = 20
+FIRST_RELAY_ROW = 100
 
 
 @dataclass(slots=True, kw_only=True)
@@ -56,6 +59,7 @@
         folder: Path,
         policy: str,
         lane: int | None = None,
+        has_relays: bool = False,
     ) -> None:
         if lane is None:
             lane = FIRST_LANE + os.getpid() % LANES
@@ -64,6 +68,9 @@
         self.plans = plan_instances(deployment, lane=lane)
         self.platform = Address(host=f"127.{lane}.0.1", port=PLATFORM_PORT)
         self.instances: dict[str, RunningInstance] = {}
+        self.relays = RelayMesh()
+        self._has_relays = has_relays
+        self._lane = lane
         self._deployment_file = deployment_file
         self._policy = policy
         self._platform_process: subprocess.Popen[bytes] | None = None
@@ -79,6 +86,9 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         self.start_platform()
         await self._wait_for_platform()
+        if self._has_relays:
+            self._plan_relays()
+            await self.relays.start()
         for plan in self.plans:
             self.start_instance(plan)
         await self.submit_first_patch()
@@ -188,6 +198,7 @@
 
     def stop(self) -> None:
         """End all processes that this fleet has started."""
+        self.relays.close()
         processes = [
             process
             for running in self.instances.values()
@@ -216,18 +227,36 @@
                 [sys.executable, "-m", *command], stdout=output, stderr=output
             )
 
+    def _plan_relays(self) -> None:
+        for row, source in enumerate(self.plans):
+            first = f"127.{self._lane}.{FIRST_RELAY_ROW + row}"
+            listen = Address(host=f"{first}.250", port=PLATFORM_PORT)
+            relay = Relay(listen=listen, target=self.platform)
+            self.relays.add(source.instance, "", relay)
+            for column, target in enumerate(self.plans):
+                if target is not source:
+                    listen = Address(host=f"{first}.{column + 1}", port=STREAM_PORT)
+                    relay = Relay(listen=listen, target=target.stream)
+                    self.relays.add(source.instance, target.instance, relay)
+
     def _make_settings(self, plan: InstancePlan) -> dict[str, Any]:
+        addresses: dict[str, Address] = {}
+        platform = self.platform
+        if self._has_relays:
+            addresses = self.relays.get_addresses(plan.instance)
+            platform = self.relays.get_platform(plan.instance)
         first_peers = [
-            msgspec.to_builtins(other.stream)
+            msgspec.to_builtins(addresses.get(other.instance, other.stream))
             for other in self.plans
             if other.zone == plan.zone and other.instance != plan.instance
         ][:2]
         return {
+            "addresses": msgspec.to_builtins(addresses),
             "instance": plan.instance,
             "zone": plan.zone,
             "http": msgspec.to_builtins(plan.http),
             "stream": msgspec.to_builtins(plan.stream),
-            "platform": msgspec.to_builtins(self.platform),
+            "platform": msgspec.to_builtins(platform),
             "ticket_secret": TICKET_SECRET,
             "policy": self._policy,
             "first_peers": first_peers,
--- /dev/null
+++ b/src/pimentoscale_bench/relay.py
@@ -0,0 +1,126 @@
+"""A TCP relay by which the bench cuts processes off from each other."""
+
+import asyncio
+import contextlib
+
+from pimentoscale.settings import Address
+
+READ_BYTES = 65536
+
+
+class Relay:
+    """Forwards connections to one address; each direction can be held up.
+
+    What is held up goes on when the cut heals, as TCP would send it again.
+    """
+
+    def __init__(self, *, listen: Address, target: Address) -> None:
+        self.listen = listen
+        self._target = target
+        self._forth = asyncio.Event()
+        self._back = asyncio.Event()
+        self._forth.set()
+        self._back.set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(
+            self._serve, self.listen.host, self.listen.port
+        )
+
+    def cut(self, *, forth: bool = True, back: bool = True) -> None:
+        """Hold up one direction or both."""
+        if forth:
+            self._forth.clear()
+        if back:
+            self._back.clear()
+
+    def heal(self) -> None:
+        """Let everything pass again."""
+        self._forth.set()
+        self._back.set()
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await self._forth.wait()
+            there = await asyncio.open_connection(self._target.host, self._target.port)
+        except OSError:
+            writer.close()
+            return
+        forth = asyncio.create_task(_pump(reader, there[1], self._forth))
+        back = asyncio.create_task(_pump(there[0], writer, self._back))
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.wait({forth, back}, return_when=asyncio.FIRST_COMPLETED)
+        for task in (forth, back):
+            task.cancel()
+        for end in (writer, there[1]):
+            end.close()
+
+
+async def _pump(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, gate: asyncio.Event
+) -> None:
+    with contextlib.suppress(OSError):
+        while data := await reader.read(READ_BYTES):
+            await gate.wait()
+            writer.write(data)
+            await writer.drain()
+
+
+class RelayMesh:
+    """A relay for each ordered pair of instances, and from each to the platform."""
+
+    def __init__(self) -> None:
+        self._pairs: dict[tuple[str, str], Relay] = {}
+
+    def add(self, source: str, target: str, relay: Relay) -> None:
+        """Add a relay; `target` is an instance, or empty for the platform."""
+        self._pairs[(source, target)] = relay
+
+    async def start(self) -> None:
+        """Start all relays."""
+        for relay in self._pairs.values():
+            await relay.start()
+
+    def cut(
+        self,
+        sources: set[str],
+        targets: set[str],
+        *,
+        forth: bool = True,
+        back: bool = True,
+    ) -> None:
+        """Hold up all connections from some instances to others."""
+        for (source, target), relay in self._pairs.items():
+            if source in sources and target in targets:
+                relay.cut(forth=forth, back=back)
+
+    def heal(self) -> None:
+        """Let everything pass again."""
+        for relay in self._pairs.values():
+            relay.heal()
+
+    def close(self) -> None:
+        """Close all relays."""
+        for relay in self._pairs.values():
+            relay.close()
+
+    def get_addresses(self, source: str) -> dict[str, Address]:
+        """Return the addresses at which an instance finds the others."""
+        return {
+            target: relay.listen
+            for (origin, target), relay in self._pairs.items()
+            if origin == source and target
+        }
+
+    def get_platform(self, source: str) -> Address:
+        """Return the address at which an instance finds the platform."""
+        return self._pairs[(source, "")].listen
