Add the operator's command: config, status, timeline, drain

Patches are appended by a node, by an id that makes sending again harmless; the verdict is read from the node's fold. Time line merged by hybrid logical clocks as text, JSON lines or one HTML page with an SVG. Found while trying it: litestar reserves the argument name request, so the time line handler answered an error; the query is now request_id.

--- a/src/pimentoscale/configuration/fold.py
+++ b/src/pimentoscale/configuration/fold.py
@@ -8,7 +8,7 @@
 from result import Err, Ok
 
 from pimentoscale.configuration.model import Configuration
-from pimentoscale.configuration.patch import apply_patch
+from pimentoscale.configuration.patch import Patch, apply_patch
 from pimentoscale.configuration.records import (
     Consent,
     Lapse,
@@ -19,7 +19,7 @@
 )
 
 KEPT_VERDICTS = 4096
-KEPT_HISTORY = 1024
+KEPT_HISTORY = 256
 
 
 class Rejection(Enum):
@@ -57,6 +57,7 @@
     message: str
     at_ms: int
     offset: int
+    change: Patch
 
 
 @dataclass(slots=True, kw_only=True)
@@ -230,6 +231,7 @@
             message=record.message,
             at_ms=record.at_ms,
             offset=offset,
+            change=record.patch,
         )
         state.history.append(entry)
         del state.history[:-KEPT_HISTORY]
--- a/src/pimentoscale/metrics.py
+++ b/src/pimentoscale/metrics.py
@@ -54,6 +54,14 @@
         """Return the sum of a counter over its labels."""
         return sum(value for key, value in self._counters.items() if key[0] == name)
 
+    def get_counts(self, name: str) -> dict[str, int]:
+        """Return a counter's value for each label."""
+        return {
+            label: value
+            for (known, label), value in self._counters.items()
+            if known == name
+        }
+
     def set_gauge(self, gauge: Gauge) -> None:
         """Set a present value."""
         self._gauges[gauge.name] = gauge.value
--- /dev/null
+++ b/src/pimentoscale/programs/operator.py
@@ -0,0 +1,311 @@
+"""pimento: the operator's command.
+
+Exit codes: 0 done or in force; 2 a bad file or call; 3 rejected for its base;
+4 rejected by a check; 5 a zone gave no consent; 6 no verdict in time; 7 a node is
+not reachable.
+"""
+
+import getpass
+import json
+import secrets
+import sys
+import time
+from enum import Enum
+from pathlib import Path
+from typing import Annotated, Any
+
+import cyclopts
+import msgspec
+from result import Err, Ok
+from rich.console import Console
+from rich.table import Table
+
+from pimentoscale.configuration import Patch, Rejection, read_patch
+from pimentoscale.programs.client import NodeClient, find_events
+from pimentoscale.programs.picture import draw_events
+from pimentoscale.serving.patches import (
+    IN_FORCE,
+    REJECTED,
+    PatchSubmission,
+)
+from pimentoscale.timeline import Event, merge_events
+from pimentoscale.timeline.clock import get_milliseconds
+
+EXIT_BAD_FILE = 2
+EXIT_NO_VERDICT = 6
+VERDICT_TIMEOUT_S = 10.0
+POLL_S = 0.05
+WIDTH_COLUMNS = 140
+PATCH_ID_BYTES = 8
+EXIT_CODES = {
+    Rejection.STALE_BASE.value: 3,
+    Rejection.BASE_AHEAD.value: 3,
+    Rejection.ANOTHER_PENDING.value: 3,
+    Rejection.FAILED_CHECK.value: 4,
+    Rejection.NO_CONSENT.value: 5,
+}
+
+Node = Annotated[
+    str, cyclopts.Parameter(help="HTTP address of any node", env_var="PIMENTO_NODE")
+]
+Json = Annotated[bool, cyclopts.Parameter(name="--json", help="print JSON")]
+
+
+class Format(Enum):
+    """Forms of a time line."""
+
+    TEXT = "text"
+    JSON = "json"
+    HTML = "html"
+
+
+app = cyclopts.App(name="pimento", help=__doc__)
+config = cyclopts.App(name="config", help="Read and change the configuration.")
+app.command(config)
+console = Console() if sys.stdout.isatty() else Console(width=WIDTH_COLUMNS)
+
+
+@config.command
+def show(*, node: Node, json: Json = False) -> None:
+    """Print the version in force and its content."""
+    found = NodeClient(address=node).get("/control/configuration")
+    if json:
+        _print_json(found)
+        return
+    console.print(f"version {found['version']} is in force (offset {found['offset']})")
+    console.print_json(data=found["configuration"])
+
+
+@config.command
+def log(*, node: Node, json: Json = False) -> None:
+    """Print who brought which version into force, when and why."""
+    history = NodeClient(address=node).get("/control/configuration")["history"]
+    if json:
+        _print_json(history)
+        return
+    table = Table("version", "when", "submitter", "message", "patch")
+    for entry in history:
+        at = time.strftime("%F %T", time.gmtime(entry["at_ms"] / 1000))
+        row = (at, entry["submitter"], entry["message"], entry["patch"])
+        table.add_row(str(entry["version"]), *row)
+    console.print(table)
+
+
+@config.command
+def diff(older: int, newer: int, *, node: Node, json: Json = False) -> None:
+    """Print the changes by which one version became another."""
+    history = NodeClient(address=node).get("/control/configuration")["history"]
+    changes = [entry for entry in history if older < entry["version"] <= newer]
+    if len(changes) != newer - older:
+        print("not all of these versions are kept", file=sys.stderr)
+        sys.exit(EXIT_BAD_FILE)
+    if json:
+        _print_json(changes)
+        return
+    for entry in changes:
+        console.print(f"version {entry['version']}: {entry['message']}")
+        console.print_json(data=entry["change"])
+
+
+@config.command
+def submit(
+    file: Path,
+    *,
+    node: Node,
+    message: str = "",
+    id: str = "",
+    wait: bool = True,
+) -> None:
+    """Submit a patch and wait for its verdict.
+
+    Submitting again with the same id is harmless.
+    """
+    match read_patch(path=file):
+        case Err(faults):
+            for fault in faults:
+                print(fault, file=sys.stderr)
+            sys.exit(EXIT_BAD_FILE)
+        case Ok(patch):
+            pass
+    submission = _make_submission(patch, id, message)
+    client = NodeClient(address=node)
+    client.post("/control/patches", submission)
+    if not wait:
+        console.print(submission.id)
+        return
+    sys.exit(_wait_verdict(client, submission.id))
+
+
+@config.command
+def verdict(id: str, *, node: Node, json: Json = False) -> None:
+    """Print what became of a patch."""
+    found = NodeClient(address=node).get(f"/control/patches/{id}")
+    if json:
+        _print_json(found)
+        return
+    sys.exit(_print_verdict(found))
+
+
+@config.command
+def explain(kind: str, *, node: Node, json: Json = False) -> None:
+    """Print what is declared of a kind, and why a node has refused it."""
+    client = NodeClient(address=node)
+    declared = client.get("/control/configuration")["configuration"]["kinds"]
+    if kind not in declared:
+        print(f"{kind} is not declared; declared: {sorted(declared)}", file=sys.stderr)
+        sys.exit(EXIT_BAD_FILE)
+    status = client.get("/control/status")
+    service = declared[kind]["service"]
+    found = {
+        "declared": declared[kind],
+        "refusals": _select_refusals(status, kind),
+        "targets": [item for item in status["targets"] if item["service"] == service],
+    }
+    if json:
+        _print_json(found)
+        return
+    console.print_json(data=found)
+
+
+@app.command
+def status(*, node: Node, json: Json = False) -> None:
+    """Print all instances, their versions, limits and refusals."""
+    members = NodeClient(address=node).get("/control/status")["members"]
+    rows = [_read_status(member) for member in members]
+    if json:
+        _print_json(rows)
+        return
+    columns = ("instance", "zone", "service", "state", "version", "running")
+    table = Table(*columns, "queued", "limit", "retries", "refusals")
+    for row in rows:
+        table.add_row(*(str(row.get(name, "")) for name in columns), *_count(row))
+    console.print(table)
+
+
+@app.command
+def timeline(
+    *,
+    node: Node,
+    request: str = "",
+    kind: str = "",
+    instance: str = "",
+    last_s: float = 0.0,
+    format: Format = Format.TEXT,
+    output: Path | None = None,
+) -> None:
+    """Print the events of all processes, merged in causal order."""
+    since = int((time.time() - last_s) * 1000) << 16 if last_s else 0
+    streams, silent = find_events(
+        node, request=request, kind=kind, instance=instance, since=since
+    )
+    events = list(merge_events(streams))
+    for name in silent:
+        print(f"no answer from {name}: its events are missing", file=sys.stderr)
+    text = _format_events(events, format)
+    if output is not None:
+        output.write_text(text, encoding="utf-8")
+    else:
+        print(text)
+
+
+@app.command
+def drain(instance: str, *, node: Node) -> None:
+    """Let an instance take no new work, and stop once its calls have ended."""
+    members = NodeClient(address=node).get("/control/status")["members"]
+    addresses = {member["instance"]: member["http"] for member in members}
+    if instance not in addresses:
+        print(f"{instance} is not known: {sorted(addresses)}", file=sys.stderr)
+        sys.exit(EXIT_BAD_FILE)
+    NodeClient(address=addresses[instance]).post("/control/drain")
+    console.print(f"{instance} is draining")
+
+
+def _make_submission(patch: Patch, id: str, message: str) -> PatchSubmission:
+    return PatchSubmission(
+        id=id or secrets.token_hex(PATCH_ID_BYTES),
+        base=patch.base,
+        submitter=getpass.getuser(),
+        message=message,
+        set=patch.set,
+        remove=patch.remove,
+    )
+
+
+def _wait_verdict(client: NodeClient, patch: str) -> int:
+    deadline = time.monotonic() + VERDICT_TIMEOUT_S
+    while time.monotonic() < deadline:
+        found = client.get(f"/control/patches/{patch}")
+        if found["state"] in (IN_FORCE, REJECTED):
+            return _print_verdict(found)
+        time.sleep(POLL_S)
+    print(f"no verdict on {patch} yet; ask again with: config verdict {patch}")
+    return EXIT_NO_VERDICT
+
+
+def _print_verdict(found: dict[str, Any]) -> int:
+    """Print a verdict and return the exit code for it."""
+    if found["state"] == IN_FORCE:
+        console.print(f"in force as version {found['version']} in every zone")
+        return 0
+    if found["state"] == REJECTED:
+        console.print(f"rejected, {found['reason']}: {found['detail']}")
+        return EXIT_CODES[found["reason"]]
+    missing = ", ".join(found["missing"])
+    console.print(f"{found['state']}; no consent yet from: {missing}")
+    return EXIT_NO_VERDICT
+
+
+def _select_refusals(status: dict[str, Any], kind: str) -> dict[str, int]:
+    prefix = f"{kind}:"
+    return {
+        label.removeprefix(prefix): count
+        for label, count in status["refusals"].items()
+        if label.startswith(prefix)
+    }
+
+
+def _read_status(member: dict[str, Any]) -> dict[str, Any]:
+    """Return a member with what its own node says, if it answers."""
+    if member["state"] == "gone":
+        return member
+    try:
+        found = NodeClient(address=member["http"]).get("/control/status")
+    except SystemExit:
+        return member | {"state": "silent"}
+    keys = ("version", "running", "queued", "limit", "retries", "refusals")
+    return member | {key: found[key] for key in keys}
+
+
+def _count(row: dict[str, Any]) -> list[str]:
+    refusals = sum(row.get("refusals", {}).values())
+    return [str(row.get(key, "")) for key in ("queued", "limit", "retries")] + [
+        str(refusals)
+    ]
+
+
+def _format_events(events: list[Event], form: Format) -> str:
+    if form is Format.HTML:
+        return draw_events(events)
+    if form is Format.JSON:
+        return "\n".join(msgspec.json.encode(event).decode() for event in events)
+    return "\n".join(map(_format_event, events))
+
+
+def _format_event(event: Event) -> str:
+    ms = get_milliseconds(event.clock)
+    at = time.strftime("%T", time.gmtime(ms / 1000)) + f".{ms % 1000:03d}"
+    words = (event.name, event.request, event.kind, event.detail)
+    return f"{at} {event.instance:16} " + " ".join(word for word in words if word)
+
+
+def _print_json(found: object) -> None:
+    print(json.dumps(found, indent=2))
+
+
+def main() -> None:
+    """Run the program."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/pimentoscale/serving/control.py
+++ b/src/pimentoscale/serving/control.py
@@ -7,6 +7,7 @@
 from litestar import Response, get, post
 from litestar.datastructures import State
 
+from pimentoscale.serving.patches import PatchSubmission
 from pimentoscale.timeline import Event
 
 
@@ -58,7 +59,7 @@
     running: int
     limit: int
     retries: int
-    refusals: int
+    refusals: dict[str, int]
     members: list[MemberStatus]
     targets: list[TargetStatus]
 
@@ -108,11 +109,11 @@
 
 @get("/control/timeline")
 async def get_timeline(
-    state: State, since: int = 0, request: str = "", kind: str = ""
+    state: State, since: int = 0, request_id: str = "", kind: str = ""
 ) -> Response[bytes]:
     """Return the kept events that match."""
     events: list[Event] = list(
-        state.node.state.timeline.select(since=since, request=request, kind=kind)
+        state.node.state.timeline.select(since=since, request=request_id, kind=kind)
     )
     return _send_json(events)
 
@@ -131,7 +132,23 @@
     return _send_json(Health(status=data.state, version=state.node.state.version))
 
 
+@post("/control/patches", status_code=202)
+async def post_patch(state: State, data: PatchSubmission) -> Response[bytes]:
+    """Append an operator's patch to the log."""
+    is_appended = await state.node.submit_patch(data)
+    status = state.node.describe_patch(data.id)
+    return _send_json(status, 202 if is_appended else 504)
+
+
+@get("/control/patches/{patch:str}")
+async def get_patch(patch: str, state: State) -> Response[bytes]:
+    """Return what became of a patch."""
+    return _send_json(state.node.describe_patch(patch))
+
+
 CONTROL_HANDLERS = [
+    post_patch,
+    get_patch,
     get_health,
     get_metrics,
     get_status,
--- a/src/pimentoscale/serving/node.py
+++ b/src/pimentoscale/serving/node.py
@@ -22,6 +22,12 @@
 from pimentoscale.serving.entry import CallEntry
 from pimentoscale.serving.log_tasks import LogTasks
 from pimentoscale.serving.overlay import Overlay
+from pimentoscale.serving.patches import (
+    PatchStatus,
+    PatchSubmission,
+    describe_patch,
+    submit_patch,
+)
 from pimentoscale.serving.pause import TICK_S, PauseGuard
 from pimentoscale.serving.peers import PeerBook
 from pimentoscale.serving.router import Router
@@ -94,9 +100,10 @@
             overlay=self._overlay,
             guard=self._guard,
         )
+        self._log = LogClient(address=settings.platform)
         self._log_tasks = LogTasks(
             state=self.state,
-            client=LogClient(address=settings.platform),
+            client=self._log,
             overlay=self._overlay,
             distribution=self._distribution,
             source=source,
@@ -175,13 +182,21 @@
             running=runner.running,
             limit=runner.report_load(now=now).limit,
             retries=state.metrics.sum_counts("retries"),
-            refusals=state.metrics.sum_counts("refusals"),
+            refusals=state.metrics.get_counts("refusals"),
             members=[_describe_member(member) for member in state.directory],
             targets=[
                 _describe_target(target, now) for target in self._router.list_targets()
             ],
         )
 
+    async def submit_patch(self, submission: PatchSubmission) -> bool:
+        """Append an operator's patch to the log."""
+        return await submit_patch(self._log, submission)
+
+    def describe_patch(self, patch: str) -> PatchStatus:
+        """Return what became of a patch."""
+        return describe_patch(self.state.feed.fold, patch)
+
     def describe_configuration(self) -> ConfigurationStatus:
         """Return the version in force and its content."""
         fold = self.state.feed.fold
