--- a/src/pimentoscale/serving/acceptor.py
+++ b/src/pimentoscale/serving/acceptor.py
@@ -35,6 +35,7 @@
     ResolveTicket,
     Verdict,
 )
+from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
 from pimentoscale.stream.transfer import BodyReceiver, BodySender
 from pimentoscale.ticket import WitnessVerdict
 
@@ -106,6 +107,19 @@
         for session in self._sessions:
             session.connection.send(leaving)
 
+    def close_silent(self, *, now: float, was_paused: bool) -> None:
+        """Close the streams whose other side has sent no heartbeat for too long.
+
+        After a pause of this process the silence was its own.
+        """
+        for session in list(self._sessions):
+            connection = session.connection
+            if was_paused:
+                connection.last_heard = now
+            elif now - connection.last_heard > HEARTBEAT_TIMEOUT_S:
+                log.info("%s is silent", session.remote.instance)
+                connection.abort()
+
     def close(self) -> None:
         """Close all streams."""
         if self._server is not None:
--- a/src/pimentoscale/serving/node.py
+++ b/src/pimentoscale/serving/node.py
@@ -229,7 +229,9 @@
         ticks = 0
         while True:
             now = loop.time()
-            if self._guard.tick(now=now):
+            was_paused = self._guard.tick(now=now)
+            self._acceptor.close_silent(now=now, was_paused=was_paused)
+            if was_paused:
                 self.state.record(EventName.PROCESS_PAUSED)
                 self._distribution.catch_up()
             self._overlay.plan(now=now)
--- a/src/pimentoscale/stream/connection.py
+++ b/src/pimentoscale/stream/connection.py
@@ -23,7 +23,7 @@
         self._writer = writer
         self._frames = FrameReader()
         self.remote: Hello | None = None
-        self.last_heard = 0.0
+        self.last_heard = asyncio.get_running_loop().time()
         sock = writer.get_extra_info("socket")
         if sock is not None and sock.family in (socket.AF_INET, socket.AF_INET6):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -64,6 +64,10 @@
             for frame in self._frames.feed(data):
                 yield frame
 
+    def abort(self) -> None:
+        """Close the connection at once, whatever was written."""
+        self._writer.transport.abort()
+
     def close(self) -> None:
         """Close the connection after what was written."""
         self._writer.close()
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -229,8 +229,13 @@
         connection.last_heard = loop.time()
         while True:
             connection.send(self._observer.describe())
+            before = loop.time()
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
-            if loop.time() - connection.last_heard > HEARTBEAT_TIMEOUT_S:
+            now = loop.time()
+            if now - before > HEARTBEAT_TIMEOUT_S:
+                # This process was paused; the silence was its own.
+                connection.last_heard = now
+            if now - connection.last_heard > HEARTBEAT_TIMEOUT_S:
                 raise TimeoutError("no heartbeat")
 
     def _take(self, connection: Connection, remote: Hello, frame: Frame) -> None:
