Measure the added time; take work off the call path

Cause of the time: profiles are flat; about 600 us of processor time at the entry and 490 us at the target's node a call at 700 calls/s, six wake-ups of idle processes, and collections of garbage of 11 to 40 ms. Ruled out: a single slow function; steal by other machines (direct calls did not stall in the same seconds). Change: calls bypass the router of litestar, frames are not copied, no digest state for bodies that fit one frame, an entry prefers its own upstream while it has room, collections rare and without what is there at the start.

--- a/src/pimentoscale/programs/node.py
+++ b/src/pimentoscale/programs/node.py
@@ -12,11 +12,12 @@
 import cyclopts
 import uvicorn
 import uvloop
-from litestar import Litestar, asgi
+from litestar import Litestar
 from litestar.datastructures import State
-from litestar.types import Receive, Scope, Send
+from litestar.types import ASGIApp, Receive, Scope, Send
 from result import Err, Ok
 
+from pimentoscale.collector import relax_collector
 from pimentoscale.logs import configure_logs, get_logger
 from pimentoscale.policy import get_policy, list_policies
 from pimentoscale.serving.control import CONTROL_HANDLERS
@@ -40,21 +41,28 @@
         yield
 
 
-def make_application(node: Node) -> Litestar:
-    """Return the application with the control handlers and the mount for calls."""
-    endpoint: CallEndpoint = node.endpoint
-
-    @asgi(MOUNT, is_mount=True, copy_scope=False)
-    async def serve_call(scope: Scope, receive: Receive, send: Send) -> None:
-        await endpoint.serve(scope, receive, send)
+def make_application(node: Node) -> ASGIApp:
+    """Return the application: calls go straight to their endpoint.
 
-    return Litestar(
-        route_handlers=[serve_call, *CONTROL_HANDLERS],
+    The router of litestar stands before the control handlers only, since it would
+    take part of the time that a call may be delayed.
+    """
+    endpoint: CallEndpoint = node.endpoint
+    control = Litestar(
+        route_handlers=CONTROL_HANDLERS,
         state=State({"node": node}),
         openapi_config=None,
         logging_config=None,
     )
 
+    async def serve_request(scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["path"].startswith(MOUNT):
+            await endpoint.serve(scope, receive, send)
+        else:
+            await control(scope, receive, send)
+
+    return serve_request
+
 
 async def serve(settings: NodeSettings) -> None:
     """Serve until a signal or a drain has let all calls end."""
@@ -82,6 +90,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.drain)
     await node.start()
+    relax_collector()
     serving = asyncio.create_task(server.serve())
     await node.wait_stopped()
     server.should_exit = True
--- a/src/pimentoscale/serving/acceptor.py
+++ b/src/pimentoscale/serving/acceptor.py
@@ -229,13 +229,15 @@
                 load=self._runner.report_load(now=now),
                 clock=self._state.tick(),
             )
+            if not reply.more:
+                connection.send(reply)
+                return
             sender = BodySender(
                 connection=connection, call=frame.call, first=reply.body
             )
             serving.sender = sender
             connection.send(reply)
-            if reply.more:
-                await sender.send(answer.body)
+            await sender.send(answer.body)
         except BodyBrokenError as error:
             # The last chunk is withheld: an empty digest tells the other side.
             connection.send(Chunk(call=frame.call, data=b"", last=True, digest=b""))
--- a/src/pimentoscale/serving/router.py
+++ b/src/pimentoscale/serving/router.py
@@ -23,6 +23,7 @@
 ANSWER_MARGIN_S = 0.25
 UNREACHABLE_PAUSE_S = 0.5
 RETRY_PAUSE_S = 0.005
+OWN_OCCUPANCY = 0.5
 
 log = get_logger("router")
 
@@ -175,8 +176,18 @@
             zone=self._state.zone,
             out_of_zone_ms=policy.out_of_zone_ms,
         )
+        own = self._find_own(pool)
+        if own is not None and own.get_occupancy(now=now) <= OWN_OCCUPANCY:
+            return own
         return self._choice.choose(pool, request, now=now)
 
+    def _find_own(self, pool: list[Target]) -> Target | None:
+        """Return this node's own upstream, which is reached without a hop."""
+        if self._state.mode.in_order_of_arrival:
+            return None
+        own = self._state.holder.instance
+        return next((item for item in pool if item.instance == own), None)
+
     async def _attempt_here(self, journey: _Journey, target: Target) -> Answer:
         loop = asyncio.get_running_loop()
         started = loop.time()
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 from pimentoscale.call import Body, BodyBrokenError
@@ -130,7 +130,7 @@
         """
         connection = self._get_connection()
         number = next(self._numbers)
-        frame = replace(frame, call=number)
+        frame.call = number
         loop = asyncio.get_running_loop()
         pending = _PendingCall(reply=loop.create_future())
         self._calls[number] = pending
--- a/src/pimentoscale_bench/experiments.py
+++ b/src/pimentoscale_bench/experiments.py
@@ -22,7 +22,7 @@
 
 
 Experiment = Callable[[ExperimentRequest], Awaitable[ExperimentReport]]
-MODULES = ("mixed", "holds")
+MODULES = ("mixed", "holds", "latency")
 _EXPERIMENTS: dict[str, Experiment] = {}
 
 
--- /dev/null
+++ b/src/pimentoscale_bench/latency.py
@@ -0,0 +1,241 @@
+"""The experiment that measures the time that two nodes add to a call."""
+
+import asyncio
+import random
+import subprocess
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import msgpack
+import numpy as np
+
+from pimentoscale.call import Body, CallRequest, Header, collect_body
+from pimentoscale.settings import Address
+from pimentoscale.upstream import ConnectionPool
+from pimentoscale_bench.deployment import read_deployment
+from pimentoscale_bench.experiments import (
+    ExperimentRequest,
+    register_experiment,
+    start_report,
+)
+from pimentoscale_bench.fleet import Fleet, make_source, run_fleet
+from pimentoscale_bench.report import AT_MOST, ExperimentReport, TargetReport
+
+POLICY = "adaptive"
+LATENCY_DEPLOYMENT = Path(__file__).parents[2] / "deployments" / "latency.toml"
+ECHO_PORT = 6000
+LOAD_PART = 0.3
+CAPACITY_WORKERS = 16
+CAPACITY_S = 2.0
+SLICE_S = 1.0
+LEAST_SLICES = 4
+BODY = b"x" * 200
+ADDED_BOUND_MS = 0.57
+MEMORY_BOUND_MB = 64.0
+CPU_BOUND_PERCENT = 4.3
+IDLE_S = 10.0
+START_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+Step = Callable[[], Awaitable[None]]
+
+
+@register_experiment("added-latency")
+async def run_latency(request: ExperimentRequest) -> ExperimentReport:
+    """Time added by two nodes at 30% load, beside the bare floor, and idle cost."""
+    report = start_report(request, "added-latency")
+    fleet = Fleet(
+        deployment=read_deployment(LATENCY_DEPLOYMENT),
+        deployment_file=LATENCY_DEPLOYMENT,
+        folder=request.folder,
+        policy=POLICY,
+    )
+    async with run_fleet(fleet):
+        idle_percent = await _measure_idle(fleet)
+        measures = await _measure(fleet, request)
+        memory_mb = max(_read_memory_mb(fleet, plan.instance) for plan in fleet.plans)
+    measures["idle_cpu_percent"] = idle_percent
+    measures["memory_mb"] = memory_mb
+    report.policies[POLICY] = dict(measures)
+    rows = (
+        ("added_p99_ms", ADDED_BOUND_MS),
+        ("memory_mb", MEMORY_BOUND_MB),
+        ("idle_cpu_percent", CPU_BOUND_PERCENT),
+    )
+    for name, bound in rows:
+        report.targets.append(
+            TargetReport(name=name, measured=measures[name], bound=bound, sense=AT_MOST)
+        )
+    return report
+
+
+async def _measure(fleet: Fleet, request: ExperimentRequest) -> dict[str, float]:
+    entry, target = fleet.plans
+    through = _make_step(entry.http, "/call/run/probe.call", _HEADERS)
+    direct = _make_step(target.upstream, "/run/probe.call", [])
+    echo = _Echo(host=target.host)
+    try:
+        await echo.start()
+        capacity = await _measure_capacity(through)
+        steps = {"direct": direct, "through": through, "streams": echo.step}
+        rate = LOAD_PART * capacity
+        times = await _alternate(steps, rate, request)
+    finally:
+        echo.stop()
+    measures = {"capacity_per_s": capacity, "rate_per_s": rate}
+    for name, found in times.items():
+        for percentile in (50, 99):
+            key = f"{name}_p{percentile}_ms"
+            measures[key] = float(np.percentile(found, percentile))
+    for percentile in (50, 99):
+        direct_ms = measures[f"direct_p{percentile}_ms"]
+        added = measures[f"through_p{percentile}_ms"] - direct_ms
+        measures[f"added_p{percentile}_ms"] = added
+        streams_ms = measures[f"streams_p{percentile}_ms"]
+        measures[f"added_over_streams_p{percentile}_ms"] = added - streams_ms
+    return {key: round(value, 4) for key, value in measures.items()}
+
+
+_HEADERS: list[Header] = [(b"pimento-kind", b"probe.call")]
+
+
+def _make_step(address: Address, path: str, headers: list[Header]) -> Step:
+    pool = ConnectionPool(address=address, limit=512)
+
+    async def step() -> None:
+        request = CallRequest(
+            method="POST",
+            path=path,
+            headers=headers,
+            body=Body.of(BODY),
+            body_bytes=len(BODY),
+        )
+        connection = await pool.acquire()
+        answer = await pool.send(connection=connection, request=request, extra=())
+        await collect_body(answer.body)
+        pool.release(connection)
+
+    return step
+
+
+class _Echo:
+    """Two bare stream servers in a row, and a client of the first."""
+
+    def __init__(self, *, host: str) -> None:
+        self._processes: list[subprocess.Popen[bytes]] = []
+        self._host = host
+        self._idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+
+    async def start(self) -> None:
+        """Start the second server, then the first, which connects to it."""
+        first, second = str(ECHO_PORT), str(ECHO_PORT + 1)
+        await self._start_server(ECHO_PORT + 1, [second])
+        await self._start_server(ECHO_PORT, [first, self._host, second])
+
+    async def _start_server(self, port: int, arguments: list[str]) -> None:
+        command = [sys.executable, "-m", "pimentoscale_bench.echo", self._host]
+        self._processes.append(subprocess.Popen([*command, *arguments]))
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(self._host, port)
+                except OSError:
+                    await asyncio.sleep(POLL_S)
+                else:
+                    writer.close()
+                    return
+
+    async def step(self) -> None:
+        """Send an item through both servers and back."""
+        if self._idle:
+            reader, writer = self._idle.pop()
+        else:
+            reader, writer = await asyncio.open_connection(self._host, ECHO_PORT)
+        writer.write(msgpack.packb([1, BODY]))
+        await reader.read(65536)
+        self._idle.append((reader, writer))
+
+    def stop(self) -> None:
+        """End both servers."""
+        for process in self._processes:
+            process.kill()
+            process.wait()
+
+
+async def _measure_capacity(step: Step) -> float:
+    """Return the calls a second that a closed loop of workers gets through."""
+    end = time.perf_counter() + CAPACITY_S
+    count = 0
+
+    async def work() -> None:
+        nonlocal count
+        while time.perf_counter() < end:
+            await step()
+            count += 1
+
+    await asyncio.gather(*(work() for _ in range(CAPACITY_WORKERS)))
+    return count / CAPACITY_S
+
+
+async def _alternate(
+    steps: dict[str, Step], rate: float, request: ExperimentRequest
+) -> dict[str, list[float]]:
+    """Run the steps in turns at a rate and return their times in milliseconds."""
+    source = make_source(request.seed, "latency")
+    times: dict[str, list[float]] = {name: [] for name in steps}
+    slices = max(LEAST_SLICES, int(request.seconds / SLICE_S / len(steps)))
+    for _ in range(slices):
+        for name, step in steps.items():
+            await _drive(step, rate, times[name], source)
+    return times
+
+
+async def _drive(
+    step: Step, rate: float, times: list[float], source: random.Random
+) -> None:
+    loop = asyncio.get_running_loop()
+    running: set[asyncio.Task[None]] = set()
+    due = loop.time()
+    end = due + SLICE_S
+
+    async def run() -> None:
+        started = time.perf_counter()
+        await step()
+        times.append((time.perf_counter() - started) * 1000)
+
+    while due < end:
+        due += source.expovariate(rate)
+        await asyncio.sleep(max(0.0, due - loop.time()))
+        task = asyncio.create_task(run())
+        running.add(task)
+        task.add_done_callback(running.discard)
+    if running:
+        await asyncio.wait(running)
+
+
+async def _measure_idle(fleet: Fleet) -> float:
+    """Return the largest part of a core that a node uses without calls."""
+    pids = [fleet.instances[plan.instance].node.pid for plan in fleet.plans]
+    before = [read_cpu_s(pid) for pid in pids]
+    await asyncio.sleep(IDLE_S)
+    used = [read_cpu_s(pid) - at for pid, at in zip(pids, before, strict=True)]
+    return round(100 * max(used) / IDLE_S, 3)
+
+
+def read_cpu_s(pid: int) -> float:
+    """Return the processor time of a process in seconds, to the microsecond."""
+    text = Path(f"/proc/{pid}/schedstat").read_text()
+    return int(text.split()[0]) / 1e9
+
+
+def read_memory_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    kilobytes = next(int(s.split()[1]) for s in lines if s.startswith("VmRSS"))
+    return round(kilobytes / 1024, 2)
+
+
+def _read_memory_mb(fleet: Fleet, instance: str) -> float:
+    return read_memory_mb(fleet.instances[instance].node.pid)
--- a/src/pimentoscale_bench/program.py
+++ b/src/pimentoscale_bench/program.py
@@ -1,6 +1,8 @@
 """pimento-bench: runs deployments as processes, loads them and reports."""
 
+import asyncio
 import logging
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -10,6 +12,7 @@
 import uvloop
 from rich.console import Console
 
+from pimentoscale.collector import relax_collector
 from pimentoscale_bench.deployment import read_deployment
 from pimentoscale_bench.experiments import (
     Experiment,
@@ -76,12 +79,17 @@
 
 
 async def _run(experiment: Experiment, request: ExperimentRequest) -> ExperimentReport:
-    return await experiment(request)
+    """Run an experiment; a termination ends it and the processes it started."""
+    task = asyncio.ensure_future(experiment(request))
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
 
 
 def main() -> None:
     """Run the program."""
     load_experiments()
+    relax_collector()
     app()
 
 
