Never call a call refused that may have run in an earlier attempt

Cause: the router returned the last attempt's answer. A call that failed at one target and was refused at the next came back as refused, though it had run. Ruled out: the gate; its refusals were true for the attempt that they answered. Change: an earlier attempt that may have run makes a later refusal a failure. Red before, green after: test_call_that_ran_is_not_called_refused_after_a_retry.

--- a/src/pimentoscale/serving/router.py
+++ b/src/pimentoscale/serving/router.py
@@ -38,6 +38,7 @@
     data: bytes | None
     tried: set[str] = field(default_factory=set)
     attempts: int = 0
+    may_have_run: CallError | None = None
 
     def make_request(self) -> CallRequest:
         """Return the request for the next attempt."""
@@ -118,16 +119,25 @@
         journey = _Journey(context=context, kind=kind, request=request, data=data)
         while True:
             answer = await self._attempt(journey)
+            if answer.outcome is Outcome.FAILED:
+                journey.may_have_run = answer.error
             if answer.outcome is Outcome.ANSWERED or not self._may_retry(
                 journey, answer
             ):
-                return answer
+                return self._conclude(journey, answer)
             self._state.metrics.count("retries", context.kind)
             self._state.record(
                 EventName.RETRY_SENT, request=context.request, kind=context.kind
             )
             await asyncio.sleep(RETRY_PAUSE_S * self._source.random())
 
+    def _conclude(self, journey: _Journey, answer: Answer) -> Answer:
+        """Return the last answer; a refusal only if no earlier attempt may have run."""
+        earlier = journey.may_have_run
+        if answer.outcome is Outcome.REFUSED and earlier is not None:
+            return Answer.of_error(earlier)
+        return answer
+
     def _may_retry(self, journey: _Journey, answer: Answer) -> bool:
         now = asyncio.get_running_loop().time()
         if not journey.may_repeat(answer) or journey.context.time_left(now=now) <= 0:
--- a/src/pimentoscale_bench/caller.py
+++ b/src/pimentoscale_bench/caller.py
@@ -82,6 +82,7 @@
         source: random.Random,
         name: str = "director",
         prefix: str = "r",
+        hard_retries: int = 0,
     ) -> None:
         self._entries = [
             ConnectionPool(address=address, limit=CONNECTIONS) for address in entries
@@ -90,13 +91,18 @@
         self._source = source
         self._name = name
         self._prefix = prefix
+        self._hard_retries = hard_retries
         self._count = 0
         self.calls: list[CallRecord] = []
 
     async def call(
         self, kind: str, *, submissions: int = MAX_SUBMISSIONS
     ) -> CallRecord:
-        """Send one call; a non-idempotent one is sent again until its end is known."""
+        """Send one call.
+
+        A non-idempotent one is sent again until its end is known; an idempotent one
+        up to `hard_retries` times at once, as a caller would that retries hard.
+        """
         self._count += 1
         request = f"{self._prefix}-{self._count}"
         record = CallRecord(request=request, kind=kind, started=time.time())
@@ -108,15 +114,21 @@
                 ticket = attempt.ticket
                 continue
             record.attempts.append(attempt)
-            is_known = attempt.outcome in ("answered", "failed")
-            if self._kinds[kind].idempotent or is_known:
+            if attempt.outcome == "answered" or self._is_final(kind, record):
                 break
+            if self._kinds[kind].idempotent:
+                continue
             ticket = attempt.ticket or ticket
             await asyncio.sleep(RESUBMIT_PAUSE_S * (0.5 + self._source.random()))
         if record.attempts:
             self.calls.append(record)
         return record
 
+    def _is_final(self, kind: str, record: CallRecord) -> bool:
+        if self._kinds[kind].idempotent:
+            return len(record.attempts) > self._hard_retries
+        return record.last.outcome == "failed"
+
     async def send(self, kind: str, request: str, body: bytes, ticket: str) -> Attempt:
         """Send one submission and check what comes back."""
         pool = self._source.choice(self._entries)
--- a/src/pimentoscale_bench/experiments.py
+++ b/src/pimentoscale_bench/experiments.py
@@ -1,8 +1,8 @@
 """The registry of experiments."""
 
 import importlib
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from pimentoscale_bench.deployment import Deployment
@@ -14,15 +14,30 @@
     """What an experiment is run on."""
 
     deployment: Deployment
-    deployment_file: Path
     seed: int
     scale: str
     folder: Path
     seconds: float
+    report_folder: Path | None = None
+
+    def slow_down(self, factor: float) -> "ExperimentRequest":
+        """Return the same request with slower upstreams.
+
+        So the slots, not this machine's processors, are what runs out.
+        """
+        kinds = {
+            name: replace(kind, service_ms=kind.service_ms * factor)
+            for name, kind in self.deployment.kinds.items()
+        }
+        return replace(self, deployment=replace(self.deployment, kinds=kinds))
+
+    def order(self, names: Sequence[str]) -> list[str]:
+        """Return names in an order that alternates with the seed."""
+        return list(names) if self.seed % 2 else list(reversed(names))
 
 
 Experiment = Callable[[ExperimentRequest], Awaitable[ExperimentReport]]
-MODULES = ("mixed", "holds", "latency")
+MODULES = ("mixed", "holds", "latency", "overload")
 _EXPERIMENTS: dict[str, Experiment] = {}
 
 
--- a/src/pimentoscale_bench/fleet.py
+++ b/src/pimentoscale_bench/fleet.py
@@ -55,7 +55,6 @@
         self,
         *,
         deployment: Deployment,
-        deployment_file: Path,
         folder: Path,
         policy: str,
         lane: int | None = None,
@@ -71,7 +70,7 @@
         self.relays = RelayMesh()
         self._has_relays = has_relays
         self._lane = lane
-        self._deployment_file = deployment_file
+        self._deployment_file = folder / "deployment.toml"
         self._policy = policy
         self._platform_process: subprocess.Popen[bytes] | None = None
         self._stopped: list[subprocess.Popen[bytes]] = []
@@ -84,6 +83,8 @@
     async def start(self) -> None:
         """Start everything and wait until all nodes have the first version."""
         self.folder.mkdir(parents=True, exist_ok=True)
+        text = tomli_w.dumps(msgspec.to_builtins(self.deployment))
+        self._deployment_file.write_text(text, encoding="utf-8")
         self.start_platform()
         await self._wait_for_platform()
         if self._has_relays:
--- a/src/pimentoscale_bench/holds.py
+++ b/src/pimentoscale_bench/holds.py
@@ -25,7 +25,6 @@
     report = start_report(request, "holds")
     fleet = Fleet(
         deployment=request.deployment,
-        deployment_file=request.deployment_file,
         folder=request.folder,
         policy=POLICY,
         has_relays=True,
--- a/src/pimentoscale_bench/latency.py
+++ b/src/pimentoscale_bench/latency.py
@@ -48,7 +48,6 @@
     report = start_report(request, "added-latency")
     fleet = Fleet(
         deployment=read_deployment(LATENCY_DEPLOYMENT),
-        deployment_file=LATENCY_DEPLOYMENT,
         folder=request.folder,
         policy=POLICY,
     )
--- a/src/pimentoscale_bench/mixed.py
+++ b/src/pimentoscale_bench/mixed.py
@@ -27,7 +27,6 @@
     report = start_report(request, "mixed")
     fleet = Fleet(
         deployment=request.deployment,
-        deployment_file=request.deployment_file,
         folder=request.folder,
         policy=POLICY,
     )
--- a/src/pimentoscale_bench/program.py
+++ b/src/pimentoscale_bench/program.py
@@ -62,11 +62,11 @@
     with tempfile.TemporaryDirectory(prefix="pimento-") as folder:
         request = ExperimentRequest(
             deployment=read_deployment(path).scale(scale),
-            deployment_file=path,
             seed=seed,
             scale=scale,
             folder=Path(folder),
             seconds=seconds,
+            report_folder=report,
         )
         result = uvloop.run(_run(found, request))
     print_report(result, console)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -108,7 +108,6 @@
     deployment = read_deployment(DEPLOYMENT).scale("small")
     fleet = Fleet(
         deployment=deployment,
-        deployment_file=DEPLOYMENT,
         folder=folder,
         policy="adaptive",
         has_relays=True,
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -278,3 +278,19 @@
         assert attempt.version == version + 1
 
     bench.run(check())
+
+
+def test_call_that_ran_is_not_called_refused_after_a_retry(bench: Bench) -> None:
+    async def check() -> None:
+        await bench.fleet.set_upstream_faults("catalogue-0", sheds=True)
+        upstream = bench.fleet.instances["catalogue-1"].upstream
+        upstream.kill()
+        upstream.wait()
+        for _ in range(10):
+            request = bench.make_request()
+            attempt = await bench.send("returns-1", "catalogue.check", request)
+            has_run = bench.count_runs(request) > 0
+            assert attempt.outcome == ("failed" if has_run else "refused")
+        await bench.restore("catalogue-0", "catalogue-1")
+
+    bench.run(check())
