--- a/src/pimentoscale/membership/member.py
+++ b/src/pimentoscale/membership/member.py
@@ -1,6 +1,7 @@
 """One member of the system as announced."""
 
-from dataclasses import dataclass
+import sys
+from dataclasses import dataclass, replace
 from enum import Enum
 
 import msgspec
@@ -47,6 +48,22 @@
 _DECODER = msgspec.msgpack.Decoder(Member)
 
 
+def _share_parts(member: Member) -> Member:
+    """Return the member with the texts that many members have kept only once.
+
+    A node keeps all members of the system, so this saves memory by the megabyte.
+    """
+    http, stream = member.http, member.stream
+    if http.host == stream.host:
+        stream = Address(host=http.host, port=stream.port)
+    return replace(
+        member,
+        zone=sys.intern(member.zone),
+        service=sys.intern(member.service),
+        stream=stream,
+    )
+
+
 def encode_member(member: Member) -> bytes:
     """Return the announcement's bytes."""
     return msgspec.msgpack.encode(member)
@@ -60,7 +77,8 @@
 def decode_roster(data: bytes) -> Result[list[Member], str]:
     """Return the members that a record announces, or why the bytes are none."""
     try:
-        return Ok(msgspec.msgpack.decode(data, type=list[Member]))
+        members = msgspec.msgpack.decode(data, type=list[Member])
+        return Ok([_share_parts(member) for member in members])
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Err(str(error))
 
@@ -68,6 +86,6 @@
 def decode_member(data: bytes) -> Result[Member, str]:
     """Return the member, or why the bytes are no announcement."""
     try:
-        return Ok(_DECODER.decode(data))
+        return Ok(_share_parts(_DECODER.decode(data)))
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Err(str(error))
--- a/src/pimentoscale/timeline/events.py
+++ b/src/pimentoscale/timeline/events.py
@@ -8,7 +8,7 @@
 
 from pimentoscale.timeline.clock import HybridClock
 
-KEPT_EVENTS = 8192
+KEPT_EVENTS = 4096
 
 
 class EventName(Enum):
--- a/src/pimentoscale_bench/experiments.py
+++ b/src/pimentoscale_bench/experiments.py
@@ -37,7 +37,7 @@
 
 
 Experiment = Callable[[ExperimentRequest], Awaitable[ExperimentReport]]
-MODULES = ("mixed", "holds", "latency", "overload", "slopes")
+MODULES = ("mixed", "holds", "latency", "overload", "slopes", "patches")
 _EXPERIMENTS: dict[str, Experiment] = {}
 
 
