Let a request sent again draw on its own retry budget

Cause: each submission of a request id got the whole bound anew at its entry. Change: the entry keeps the budget of each named request for 60 s, at most 20,000. Error kinds, events and a policy key that nothing used are gone.

--- a/src/pimentoscale/call/__init__.py
+++ b/src/pimentoscale/call/__init__.py
@@ -2,7 +2,7 @@
 
 from pimentoscale.call.answer import Answer, Header
 from pimentoscale.call.body import Body, BodyBrokenError, collect_body
-from pimentoscale.call.budget import RetryBudget
+from pimentoscale.call.budget import RequestBudgets, RetryBudget
 from pimentoscale.call.context import CallContext, ContextTable
 from pimentoscale.call.request import CallRequest
 
@@ -14,6 +14,7 @@
     "CallRequest",
     "ContextTable",
     "Header",
+    "RequestBudgets",
     "RetryBudget",
     "collect_body",
 ]
--- a/src/pimentoscale/call/budget.py
+++ b/src/pimentoscale/call/budget.py
@@ -1,5 +1,11 @@
 """The bound on retries of one request over its whole tree of calls."""
 
+from collections import OrderedDict
+from dataclasses import dataclass
+
+KEPT_S = 60.0
+MAX_BUDGETS = 20_000
+
 
 class RetryBudget:
     """Retries that one hop holds; it lends them out and takes back the rest.
@@ -56,3 +62,46 @@
         """Return what a loan left unspent; an implausible report spends it all."""
         if 0 <= spent <= lent and not self._is_settled:
             self._left = min(self._given, self._left + lent - spent)
+
+
+class RequestBudgets:
+    """The budgets of requests that callers have named, one for each.
+
+    A caller that sends a request again draws on the same budget, as long as it
+    enters at the same node. Entries are kept for `KEPT_S` after the last use.
+    """
+
+    __slots__ = ("_budgets",)
+
+    def __init__(self) -> None:
+        self._budgets: OrderedDict[tuple[str, str], _KeptBudget] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._budgets)
+
+    def find(
+        self, *, caller: str, request: str, retries: int, now: float
+    ) -> RetryBudget:
+        """Return the budget of a request, a new one at its first submission."""
+        self._forget_old(now)
+        key = (caller, request)
+        kept = self._budgets.pop(key, None)
+        if kept is None:
+            kept = _KeptBudget(budget=RetryBudget(retries=retries), used_at=now)
+        kept.used_at = now
+        self._budgets[key] = kept
+        return kept.budget
+
+    def _forget_old(self, now: float) -> None:
+        while self._budgets:
+            key, kept = next(iter(self._budgets.items()))
+            is_old = now - kept.used_at > KEPT_S
+            if not is_old and len(self._budgets) < MAX_BUDGETS:
+                return
+            del self._budgets[key]
+
+
+@dataclass(slots=True, kw_only=True)
+class _KeptBudget:
+    budget: RetryBudget
+    used_at: float
--- a/src/pimentoscale/configuration/model.py
+++ b/src/pimentoscale/configuration/model.py
@@ -48,10 +48,10 @@
 class Policy:
     """Parameters of limits, routing and queues.
 
-    `queue_factor` times the limit may wait at a target; `hedge_after` is in
-    multiples of the kind's usual time; 0 sends no hedges. `probation_ratio` is how
+    `queue_factor` times the limit may wait at a target. `probation_ratio` is how
     many times slower than its siblings a target may be, and `probation_share` the
-    part of a service's targets that may be on probation at once.
+    part of a service's targets that may be on probation at once. `ramp_s` is the
+    time in which a cold start reaches its limit.
     """
 
     queue_factor: Ratio = 2.0
@@ -59,7 +59,6 @@
     out_of_zone_ms: Count = 2
     probation_ratio: Ratio = 3.0
     probation_share: Share = 0.5
-    hedge_after: Annotated[float, Meta(ge=0.0)] = 0.0
     ramp_s: Count = 10
 
 
--- a/src/pimentoscale/errors.py
+++ b/src/pimentoscale/errors.py
@@ -26,8 +26,6 @@
     DRAINING = "draining"
     DEADLINE_BEFORE_RUN = "deadline_before_run"
     DEADLINE_WHILE_RUNNING = "deadline_while_running"
-    CALLER_GONE_BEFORE_RUN = "caller_gone_before_run"
-    CALLER_GONE_WHILE_RUNNING = "caller_gone_while_running"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_BROKE = "upstream_broke"
     UPSTREAM_SHED = "upstream_shed"
@@ -36,7 +34,6 @@
     PEER_LOST = "peer_lost"
     ANSWER_DAMAGED = "answer_damaged"
     ALREADY_RAN = "already_ran"
-    STOPPED = "stopped"
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -70,8 +67,6 @@
     (ErrorKind.DRAINING, 503, _REFUSED, "the instance is draining"),
     (ErrorKind.DEADLINE_BEFORE_RUN, 504, _REFUSED, "the deadline passed before a run"),
     (ErrorKind.DEADLINE_WHILE_RUNNING, 504, _FAILED, "the deadline passed in the run"),
-    (ErrorKind.CALLER_GONE_BEFORE_RUN, 499, _REFUSED, "the caller left before a run"),
-    (ErrorKind.CALLER_GONE_WHILE_RUNNING, 499, _FAILED, "the caller left in the run"),
     (ErrorKind.UPSTREAM_UNREACHABLE, 502, _REFUSED, "the upstream took no connection"),
     (ErrorKind.UPSTREAM_BROKE, 502, _FAILED, "the upstream broke off its answer"),
     (ErrorKind.UPSTREAM_SHED, 503, _FAILED, "the upstream shed the call"),
@@ -80,7 +75,6 @@
     (ErrorKind.PEER_LOST, 502, _FAILED, "the target's node was lost in the run"),
     (ErrorKind.ANSWER_DAMAGED, 502, _FAILED, "the answer did not arrive whole"),
     (ErrorKind.ALREADY_RAN, 409, _UNKNOWN, "an earlier submission may have run"),
-    (ErrorKind.STOPPED, 503, _FAILED, "the instance stopped during the run"),
 )
 
 ANSWERS: dict[ErrorKind, ErrorAnswer] = {
--- a/src/pimentoscale/serving/entry.py
+++ b/src/pimentoscale/serving/entry.py
@@ -2,7 +2,13 @@
 
 import asyncio
 
-from pimentoscale.call import Answer, CallContext, CallRequest, RetryBudget
+from pimentoscale.call import (
+    Answer,
+    CallContext,
+    CallRequest,
+    RequestBudgets,
+    RetryBudget,
+)
 from pimentoscale.configuration import Kind
 from pimentoscale.errors import CallError, ErrorKind
 from pimentoscale.serving.head import CallHead
@@ -31,6 +37,7 @@
         self._runner = runner
         self._submissions = submissions
         self._guard = guard
+        self._budgets = RequestBudgets()
 
     async def handle(self, head: CallHead, request: CallRequest) -> Answer:
         """Return the answer to a call, whatever becomes of it."""
@@ -98,12 +105,20 @@
 
     def _make_root(self, head: CallHead, kind: Kind, now: float) -> CallContext:
         timeout_ms = head.timeout_ms or kind.timeout_ms
+        budget = RetryBudget(retries=kind.retries)
+        if head.has_request:
+            budget = self._budgets.find(
+                caller=head.caller,
+                request=head.request,
+                retries=kind.retries,
+                now=now,
+            )
         return CallContext(
             request=head.request,
             caller=head.caller,
             kind=head.kind,
             deadline=now + timeout_ms / 1000,
-            budget=RetryBudget(retries=kind.retries),
+            budget=budget,
             depth=0,
             work_ms=0,
             version=self._state.version,
--- a/src/pimentoscale/serving/runner.py
+++ b/src/pimentoscale/serving/runner.py
@@ -143,6 +143,9 @@
         if decision.verdict is Verdict.START:
             slot.is_held = True
             return None
+        self._state.record(
+            EventName.CALL_QUEUED, request=slot.entry.request, kind=slot.entry.kind
+        )
         slot.granted = loop.create_future()
         self._waiting[id(slot.entry)] = slot
         timer = loop.call_at(slot.entry.deadline, self._expire, slot)
--- a/src/pimentoscale/timeline/events.py
+++ b/src/pimentoscale/timeline/events.py
@@ -15,7 +15,6 @@
     """The closed list of events."""
 
     CALL_ENTERED = "call_entered"
-    CALL_SENT = "call_sent"
     CALL_QUEUED = "call_queued"
     CALL_STARTED = "call_started"
     CALL_REFUSED = "call_refused"
@@ -25,7 +24,6 @@
     INTENT_RECORDED = "intent_recorded"
     TICKET_VETOED = "ticket_vetoed"
     VERSION_IN_FORCE = "version_in_force"
-    PATCH_REJECTED = "patch_rejected"
     CONSENT_GIVEN = "consent_given"
     MEMBER_JOINED = "member_joined"
     MEMBER_DRAINING = "member_draining"
@@ -34,7 +32,6 @@
     PEER_DOWN = "peer_down"
     PROCESS_PAUSED = "process_paused"
     PROBATION_STARTED = "probation_started"
-    PROBATION_ENDED = "probation_ended"
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pimentoscale.call import RetryBudget
+from pimentoscale.call import RequestBudgets, RetryBudget
+from pimentoscale.call.budget import KEPT_S, MAX_BUDGETS
 
 MAX_DEPTH = 6
 
@@ -51,3 +52,21 @@
     assert budget.settle() == 2
     budget.take_back(lent=lent, spent=0)
     assert budget.left == 0
+
+
+def test_request_sent_again_draws_on_the_same_budget() -> None:
+    budgets = RequestBudgets()
+    first = budgets.find(caller="a", request="r", retries=2, now=0.0)
+    assert first.spend()
+    again = budgets.find(caller="a", request="r", retries=2, now=1.0)
+    assert again.left == 1
+    assert budgets.find(caller="b", request="r", retries=2, now=1.0).left == 2
+
+
+def test_budgets_are_forgotten_after_a_while_and_bounded_in_number() -> None:
+    budgets = RequestBudgets()
+    budgets.find(caller="a", request="r", retries=2, now=0.0).spend()
+    assert budgets.find(caller="a", request="r", retries=2, now=KEPT_S + 1).left == 2
+    for number in range(MAX_BUDGETS + 5):
+        budgets.find(caller="a", request=str(number), retries=1, now=100.0)
+    assert len(budgets) <= MAX_BUDGETS
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -294,3 +294,19 @@
         await bench.restore("catalogue-0", "catalogue-1")
 
     bench.run(check())
+
+
+def test_retries_of_a_request_sent_again_stay_within_its_bound(bench: Bench) -> None:
+    async def check() -> None:
+        for name in ("catalogue-0", "catalogue-1"):
+            await bench.fleet.set_upstream_faults(name, sheds=True)
+        request = bench.make_request()
+        submissions = 5
+        for _ in range(submissions):
+            await bench.send("returns-0", "catalogue.check", request)
+        for name in ("catalogue-0", "catalogue-1"):
+            await bench.fleet.set_upstream_faults(name, sheds=False)
+        retries = bench.fleet.deployment.kinds["catalogue.check"].retries
+        assert bench.count_runs(request) <= submissions + retries
+
+    bench.run(check())
