--- a/src/pimentoscale/serving/acceptor.py
+++ b/src/pimentoscale/serving/acceptor.py
@@ -18,6 +18,7 @@
 from pimentoscale.serving.runner import UpstreamRunner
 from pimentoscale.serving.state import NodeState
 from pimentoscale.serving.submission import Submissions
+from pimentoscale.serving.witnesses import Witnesses
 from pimentoscale.stream import (
     Announcements,
     Call,
@@ -74,12 +75,14 @@
         peers: PeerBook,
         runner: UpstreamRunner,
         submissions: Submissions,
+        witnesses: Witnesses,
         guard: PauseGuard,
     ) -> None:
         self._state = state
         self._peers = peers
         self._runner = runner
         self._submissions = submissions
+        self._witnesses = witnesses
         self._guard = guard
         self._sessions: set[_Session] = set()
         self._server: asyncio.Server | None = None
@@ -163,10 +166,10 @@
             case Chunk() | Credit() | Cancel():
                 self._take_follow_up(session, frame)
             case RecordIntent():
-                verdict = self._submissions.rule_on_intent(frame.ticket)
+                verdict = self._witnesses.rule_on_intent(frame.ticket)
                 _send_verdict(session, frame.query, verdict)
             case ResolveTicket():
-                verdict = self._submissions.rule_on_ticket(
+                verdict = self._witnesses.rule_on_ticket(
                     frame.ticket, frame.replacement
                 )
                 _send_verdict(session, frame.query, verdict)
--- a/src/pimentoscale/serving/node.py
+++ b/src/pimentoscale/serving/node.py
@@ -34,9 +34,10 @@
 from pimentoscale.serving.runner import UpstreamRunner
 from pimentoscale.serving.state import NodeState, get_wall_ms, make_own_member
 from pimentoscale.serving.submission import Submissions
+from pimentoscale.serving.witnesses import Witnesses
 from pimentoscale.settings import NodeSettings
 from pimentoscale.stream import Announcements, Connection
-from pimentoscale.ticket import Holder
+from pimentoscale.ticket import Holder, TicketMint
 from pimentoscale.timeline import EventName, HybridClock, Timeline
 
 DRAIN_NOTICE_S = 2.0
@@ -75,8 +76,16 @@
         self._router = Router(
             state=self.state, peers=self._peers, runner=self._runner, source=source
         )
+        mint = TicketMint(secret=settings.ticket_secret)
+        self._witnesses = Witnesses(
+            state=self.state, peers=self._peers, mint=mint, source=source
+        )
         self._submissions = Submissions(
-            state=self.state, peers=self._peers, router=self._router, source=source
+            state=self.state,
+            peers=self._peers,
+            router=self._router,
+            witnesses=self._witnesses,
+            mint=mint,
         )
         self._entry = CallEntry(
             state=self.state,
@@ -91,6 +100,7 @@
             peers=self._peers,
             runner=self._runner,
             submissions=self._submissions,
+            witnesses=self._witnesses,
             guard=self._guard,
         )
         self._overlay = Overlay(state=self.state, peers=self._peers)
--- a/src/pimentoscale/serving/submission.py
+++ b/src/pimentoscale/serving/submission.py
@@ -1,12 +1,10 @@
 """Calls that run at most once: their way over home and witness."""
 
 import asyncio
-import random
 from collections.abc import Coroutine
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-import xxhash
 from result import Err, Ok
 
 from pimentoscale.call import (
@@ -20,28 +18,25 @@
 from pimentoscale.configuration import Kind
 from pimentoscale.errors import CallError, ErrorKind
 from pimentoscale.logs import get_logger
-from pimentoscale.membership import Member, MemberState
+from pimentoscale.membership import Member
 from pimentoscale.outcome import Outcome
 from pimentoscale.serving.frames import make_call, read_reply
 from pimentoscale.serving.peers import Lane, PeerBook
 from pimentoscale.serving.router import Router
 from pimentoscale.serving.state import NodeState, get_wall_ms
+from pimentoscale.serving.witnesses import Witnesses
 from pimentoscale.stream import (
     PeerLostError,
     PeerUnreachableError,
     RecordIntent,
     ResolveTicket,
-    Verdict,
 )
 from pimentoscale.ticket import (
-    Holder,
     HomeEntry,
     HomeLedger,
     Ruling,
     Ticket,
     TicketMint,
-    WitnessLedger,
-    WitnessVerdict,
 )
 from pimentoscale.ticket.home import KeptAnswer, keep_answer
 from pimentoscale.timeline import EventName
@@ -78,22 +73,20 @@
         state: NodeState,
         peers: PeerBook,
         router: Router,
-        source: random.Random,
+        witnesses: Witnesses,
+        mint: TicketMint,
     ) -> None:
         self._state = state
         self._peers = peers
         self._router = router
-        self._source = source
-        self._mint = TicketMint(secret=state.settings.ticket_secret)
+        self._mint = mint
         self._home = HomeLedger()
-        self._witness = WitnessLedger(holder=state.holder)
+        self._witnesses = witnesses
         self._runs: set[asyncio.Future[Any]] = set()
-        self._candidates: list[Member] = []
-        self._candidates_at = -1
 
     def issue(self, *, request: str, caller: str, kind: str) -> str:
         """Return a new ticket with this node as home; empty without a witness."""
-        witness = self._choose_witness()
+        witness = self._witnesses.choose()
         if witness is None:
             return ""
         ticket = self._mint.issue(
@@ -140,35 +133,11 @@
         entry = self._home.open(key=key, expires_ms=get_wall_ms() + left_ms)
         return await self._shield(self._run(entry, context, kind, request))
 
-    def rule_on_intent(self, text: str) -> WitnessVerdict:
-        """Answer a home that asks this node as its witness."""
-        match self._mint.read(text):
-            case Ok(ticket):
-                return self._witness.record_intent(ticket, now_ms=get_wall_ms())
-            case Err(_):
-                return WitnessVerdict(ruling=Ruling.FOREIGN)
-
-    def rule_on_ticket(self, text: str, replacement: str) -> WitnessVerdict:
-        """Answer a node that can't reach a ticket's home."""
-        match self._mint.read(text):
-            case Ok(ticket):
-                return self._rule(ticket, replacement)
-            case Err(_):
-                return WitnessVerdict(ruling=Ruling.FOREIGN)
-
     def forget_expired(self) -> None:
         """Drop what no ticket can name any more."""
         now_ms = get_wall_ms()
         self._home.forget_expired(now_ms=now_ms)
-        self._witness.forget_expired(now_ms=now_ms)
-
-    def _rule(self, ticket: Ticket, replacement: str) -> WitnessVerdict:
-        verdict = self._witness.resolve(
-            ticket, replacement=replacement, now_ms=get_wall_ms()
-        )
-        if verdict.ruling is Ruling.VETOED:
-            self._state.record(EventName.TICKET_VETOED, request=ticket.request)
-        return verdict
+        self._witnesses.forget_expired(now_ms=now_ms)
 
     def _read(
         self, text: str, context: CallContext, kind: Kind, request: CallRequest
@@ -233,12 +202,12 @@
         if not replacement:
             return _end(ErrorKind.ALREADY_RAN, "home lost, and no other witness")
         if ticket.witness == self._state.holder:
-            verdict = self._rule(ticket, replacement)
+            verdict = self._witnesses.rule(ticket, replacement)
         else:
             query = ResolveTicket(
                 query=0, ticket=submission.text, replacement=replacement
             )
-            verdict = await self._ask(ticket.witness, query)
+            verdict = await self._witnesses.ask(ticket.witness, query)
         if verdict.ruling is Ruling.VETOED:
             return verdict.replacement
         return _end(
@@ -272,7 +241,7 @@
         """Run once the witness has the intent on record."""
         ticket = submission.ticket
         query = RecordIntent(query=0, ticket=submission.text)
-        verdict = await self._ask(ticket.witness, query)
+        verdict = await self._witnesses.ask(ticket.witness, query)
         if verdict.ruling is Ruling.VETOED:
             entry.replacement = verdict.replacement
             entry.ended.set_result(keep_answer(_end(ErrorKind.ALREADY_RAN), b""))
@@ -346,61 +315,6 @@
             return _end(ErrorKind.ALREADY_RAN, "the ticket was replaced")
         return _repeat(kept)
 
-    async def _ask(
-        self, witness: Holder, query: RecordIntent | ResolveTicket
-    ) -> WitnessVerdict:
-        """Return the witness's verdict; `FOREIGN` if it can't be had."""
-        unknown = WitnessVerdict(ruling=Ruling.FOREIGN)
-        member = self._state.directory.find(instance=witness.instance)
-        if member is None or member.incarnation != witness.incarnation:
-            return unknown
-        try:
-            peer = await self._peers.wait_up(member, Lane.CONTROL)
-            frame = await peer.query(query, timeout_s=WITNESS_TIMEOUT_S)
-        except (PeerUnreachableError, PeerLostError) as error:
-            log.info("witness %s gave no answer: %s", witness.instance, error)
-            return unknown
-        if not isinstance(frame, Verdict):
-            return unknown
-        return WitnessVerdict(
-            ruling=Ruling(frame.verdict), replacement=frame.replacement
-        )
-
-    def _choose_witness(self) -> Holder | None:
-        """Return another live node of the zone, one of a fixed few."""
-        candidates = self._list_candidates()
-        connected = [
-            member
-            for member in candidates
-            if self._peers.open(member, Lane.CONTROL).is_up
-        ]
-        pool = connected or candidates
-        if not pool:
-            return None
-        chosen = self._source.choice(pool)
-        return Holder(instance=chosen.instance, incarnation=chosen.incarnation)
-
-    def _list_candidates(self) -> list[Member]:
-        directory = self._state.directory
-        if self._candidates_at != directory.changes:
-            own = self._state.holder.instance
-            zone = directory.list_zone(zone=self._state.zone)
-            known = [directory.find(instance=name) for name in zone if name != own]
-            members = [
-                member
-                for member in known
-                if member is not None and member.state is MemberState.ALIVE
-            ]
-            members.sort(key=lambda member: _rank_candidate(own, member.instance))
-            self._candidates = members[:WITNESS_CANDIDATES]
-            self._candidates_at = directory.changes
-        return self._candidates
-
-
-def _rank_candidate(own: str, other: str) -> int:
-    """Return a rank by which each node has other witnesses."""
-    return xxhash.xxh3_64_intdigest(f"{own}|{other}".encode())
-
 
 def _end(kind: ErrorKind, detail: str = "") -> Answer:
     return Answer.of_error(CallError(kind=kind, detail=detail))
--- a/src/pimentoscale_bench/experiments.py
+++ b/src/pimentoscale_bench/experiments.py
@@ -37,7 +37,7 @@
 
 
 Experiment = Callable[[ExperimentRequest], Awaitable[ExperimentReport]]
-MODULES = ("mixed", "holds", "latency", "overload", "slopes", "patches")
+MODULES = ("mixed", "holds", "latency", "overload", "interference", "slopes", "patches")
 _EXPERIMENTS: dict[str, Experiment] = {}
 
 
--- /dev/null
+++ b/src/pimentoscale_bench/interference.py
@@ -0,0 +1,133 @@
+"""The experiments head-of-line and stragglers."""
+
+import asyncio
+
+from pimentoscale_bench.caller import Phase
+from pimentoscale_bench.capacity import compute_capacity, get_holding_ms
+from pimentoscale_bench.experiments import (
+    ExperimentRequest,
+    register_experiment,
+    start_report,
+)
+from pimentoscale_bench.fleet import Fleet
+from pimentoscale_bench.report import (
+    AT_LEAST,
+    AT_MOST,
+    ExperimentReport,
+    measure_kinds,
+)
+from pimentoscale_bench.trials import (
+    POLICIES,
+    POLICY,
+    Trial,
+    add_target,
+    measure_p99,
+    run_trial,
+)
+
+MAX_CHECK_RATE = 150.0
+
+
+@register_experiment("head-of-line")
+async def run_head_of_line(request: ExperimentRequest) -> ExperimentReport:
+    """Short checks beside a flood of uploads on shared nodes and slots."""
+    report = start_report(request, "head-of-line")
+    short, long = _find_short_and_long(request)
+    deployment = request.deployment
+    service = deployment.services[deployment.kinds[long].service]
+    slots = service.targets * service.slots
+    check_rate = min(
+        MAX_CHECK_RATE, 0.3 * 1000 * slots / get_holding_ms(request.deployment, short)
+    )
+    upload_rate = (
+        1.5
+        * service.long_share
+        * 1000
+        * slots
+        / get_holding_ms(request.deployment, long)
+    )
+    loads = {
+        "checks alone": {short: check_rate},
+        "uploads alone": {long: upload_rate},
+        "both": {short: check_rate, long: upload_rate},
+    }
+    found: dict[str, Trial] = {}
+    for name, weights in loads.items():
+        phases = [Phase(rate=sum(weights.values()), seconds=request.seconds)]
+        found[name] = await run_trial(
+            request, report, policy=POLICY, phases=phases, weights=weights, name=name
+        )
+        report.policies[name] = {
+            "kinds": measure_kinds(found[name].calls, request.seconds)
+        }
+    alone = measure_p99(found["checks alone"].calls, short)
+    beside = measure_p99(found["both"].calls, short)
+    add_target(report, "checks_p99_ratio", beside / alone, 1.2, AT_MOST)
+    done = [_count(found[name], long) for name in ("both", "uploads alone")]
+    add_target(report, "uploads_ratio", done[0] / max(1, done[1]), 0.9, AT_LEAST)
+    return report
+
+
+def _find_short_and_long(request: ExperimentRequest) -> tuple[str, str]:
+    kinds = request.deployment.kinds
+    long = next(name for name, kind in kinds.items() if kind.length == "long")
+    shared = [
+        name
+        for name, kind in kinds.items()
+        if kind.service == kinds[long].service and kind.length == "short"
+    ]
+    return shared[0], long
+
+
+def _count(trial: Trial, kind: str) -> int:
+    return sum(
+        call.kind == kind and call.last.outcome == "answered" for call in trial.calls
+    )
+
+
+@register_experiment("stragglers")
+async def run_stragglers(request: ExperimentRequest) -> ExperimentReport:
+    """One target slowed tenfold for moments by turns."""
+    request = request.slow_down(2.0)
+    report = start_report(request, "stragglers")
+    kind = "catalogue.check"
+    weights = {kind: 1.0}
+    capacity = compute_capacity(request.deployment, weights)
+    phases = [Phase(rate=min(120.0, 0.3 * capacity), seconds=request.seconds)]
+
+    async def slow_by_turns(fleet: Fleet) -> None:
+        targets = [p.instance for p in fleet.plans if p.service == "catalogue"]
+        loop = asyncio.get_running_loop()
+        end = loop.time() + request.seconds
+        turn = 0
+        while loop.time() < end - 2:
+            name = targets[turn % len(targets)]
+            await fleet.set_upstream_faults(name, slow_factor=10.0)
+            await asyncio.sleep(2)
+            await fleet.set_upstream_faults(name, slow_factor=1.0)
+            await asyncio.sleep(1)
+            turn += 1
+
+    calm = await run_trial(
+        request, report, policy=POLICY, phases=phases, weights=weights, name="calm"
+    )
+    calm_p99 = measure_p99(calm.calls, kind)
+    for policy in request.order(POLICIES):
+        trial = await run_trial(
+            request,
+            report,
+            policy=policy,
+            phases=phases,
+            weights=weights,
+            disturb=slow_by_turns,
+        )
+        report.policies[policy] = {
+            "kinds": measure_kinds(trial.calls, request.seconds),
+            "p99_ratio": measure_p99(trial.calls, kind) / calm_p99,
+            "extra_attempts": sum(c.last.retries_spent for c in trial.calls)
+            / max(1, len(trial.calls)),
+        }
+    own = report.policies[POLICY]
+    add_target(report, "p99_ratio", own["p99_ratio"], 1.5, AT_MOST)
+    add_target(report, "extra_attempts", own["extra_attempts"], 0.05, AT_MOST)
+    return report
--- a/src/pimentoscale_bench/patches.py
+++ b/src/pimentoscale_bench/patches.py
@@ -16,8 +16,8 @@
     start_report,
 )
 from pimentoscale_bench.fleet import Fleet, run_fleet
-from pimentoscale_bench.overload import add_target
 from pimentoscale_bench.report import AT_LEAST, AT_MOST, ExperimentReport
+from pimentoscale_bench.trials import add_target
 
 POLICY = "adaptive"
 PATCHES = 30
