Leave stragglers: word from the target itself, estimates that fade, hedges

Cause: with one target a zone a node only ever asked its own zone's, so it knew no sibling to judge it by; the random pair was often the same target twice; a slow time was never forgotten, so the next straggler drove calls back to the last one; the own upstream was preferred however slow it was. Change: one of the pair is of the own zone, the other is another target; a node tells all connected nodes once its upstream has not answered after the kind's usual time; estimates start from the faded value; idempotent short calls are hedged within the retry bound and 5% of the calls.

--- a/src/pimentoscale/call/budget.py
+++ b/src/pimentoscale/call/budget.py
@@ -39,6 +39,11 @@
         self._left -= 1
         return True
 
+    def refund(self) -> None:
+        """Give back one retry that was spent in advance and not used."""
+        if not self._is_settled:
+            self._left = min(self._given, self._left + 1)
+
     def lend_all(self) -> int:
         """Lend all that is left, for an attempt that is waited for."""
         lent = self._left
--- a/src/pimentoscale/policy.py
+++ b/src/pimentoscale/policy.py
@@ -21,6 +21,7 @@
     target_choice: str
     retry_rule: RetryRule
     in_order_of_arrival: bool
+    sends_hedges: bool = False
 
 
 _POLICIES: dict[str, PolicyMode] = {}
@@ -77,6 +78,7 @@
         target_choice="two_choices",
         retry_rule=RetryRule.BUDGET,
         in_order_of_arrival=False,
+        sends_hedges=True,
     )
 
 
@@ -89,4 +91,17 @@
         target_choice="two_choices",
         retry_rule=RetryRule.BUDGET,
         in_order_of_arrival=False,
+        sends_hedges=True,
+    )
+
+
+@register_policy
+def describe_unhedged() -> PolicyMode:
+    """Describe the production policy without hedges."""
+    return PolicyMode(
+        name="unhedged",
+        limit_law="aimd",
+        target_choice="two_choices",
+        retry_rule=RetryRule.BUDGET,
+        in_order_of_arrival=False,
     )
--- a/src/pimentoscale/routing/choice.py
+++ b/src/pimentoscale/routing/choice.py
@@ -80,7 +80,11 @@
 
 @register_choice("two_choices")
 class TwoChoices:
-    """The better of two random targets, by expected time."""
+    """The better of two random targets, by expected time.
+
+    One of the two is of this zone, if it has any: the other zones' are chosen only
+    if they should answer sooner in spite of the way.
+    """
 
     __slots__ = ("_source",)
 
@@ -93,7 +97,9 @@
         """Return the one of two that should answer sooner."""
         if len(targets) == 1:
             return targets[0]
-        first, second = self._source.sample(targets, 2)
+        own = [target for target in targets if target.zone == request.zone]
+        first = self._source.choice(own or targets)
+        second = self._source.choice([item for item in targets if item is not first])
         first_ms = estimate_ms(first, request, now=now)
         second_ms = estimate_ms(second, request, now=now)
         return first if first_ms <= second_ms else second
--- a/src/pimentoscale/routing/targets.py
+++ b/src/pimentoscale/routing/targets.py
@@ -9,7 +9,7 @@
 
 LOAD_VALID_S = 0.5
 REFUSED_PAUSE_S = 0.1
-LATENCY_SMOOTHING = 0.1
+LATENCY_SMOOTHING = 0.3
 LATENCY_HALF_LIFE_S = 2.0
 PROBATION_MIN_SAMPLES = 5
 PROBATION_S = 1.0
@@ -82,11 +82,18 @@
         """Learn from an answer."""
         self.load = load
         self.load_at = now
-        known = self.latencies.setdefault(kind, Latency(value_ms=latency_ms))
-        known.value_ms += LATENCY_SMOOTHING * (latency_ms - known.value_ms)
+        known = self.latencies.setdefault(kind, Latency(value_ms=latency_ms, at=now))
+        faded_ms = self.get_latency_ms(kind, now=now)
+        known.value_ms = faded_ms + LATENCY_SMOOTHING * (latency_ms - faded_ms)
         known.samples += 1
         known.at = now
 
+    def note_late(self, *, kind: str, late_ms: float, now: float) -> None:
+        """Learn that a call has not been answered after its usual time."""
+        known = self.latencies.setdefault(kind, Latency(value_ms=late_ms, at=now))
+        known.value_ms = max(self.get_latency_ms(kind, now=now), late_ms)
+        known.at = now
+
     def note_refusal(self, *, load: Load, now: float) -> None:
         """Learn from a refusal, which says nothing of latency."""
         self.load = load
@@ -124,24 +131,19 @@
         return [item for item in self._targets.values() if item.takes_new_work()]
 
     def list_candidates(
-        self, *, zone: str, importance: int, tried: Container[str], now: float
+        self, *, importance: int, tried: Container[str], now: float
     ) -> list[Target]:
         """Return the best group of targets to choose from; empty if none admits.
 
-        Targets not tried yet go before those tried, the own zone's before the
-        others', and those on probation come last in each group.
+        Targets not tried yet go before those tried, and those on probation last.
         """
         admitting = [
             item for item in self.list_usable() if item.admits(importance, now=now)
         ]
         fresh = [item for item in admitting if item.instance not in tried]
         pool = fresh or admitting
-        own = [item for item in pool if item.zone == zone]
-        for group in (own, pool):
-            quick = [item for item in group if not item.is_on_probation(now=now)]
-            if quick:
-                return quick
-        return pool
+        quick = [item for item in pool if not item.is_on_probation(now=now)]
+        return quick or pool
 
     def judge(self, target: Target, *, kind: str, policy: Policy, now: float) -> bool:
         """Put a straggler on probation; return True if that was done.
--- a/src/pimentoscale/serving/acceptor.py
+++ b/src/pimentoscale/serving/acceptor.py
@@ -34,6 +34,7 @@
     Leaving,
     RecordIntent,
     ResolveTicket,
+    Slow,
     Verdict,
 )
 from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
@@ -110,6 +111,12 @@
         for session in self._sessions:
             session.connection.send(leaving)
 
+    def announce_slow(self, kind: str, late_ms: float) -> None:
+        """Tell every connected node that the own upstream answers late."""
+        frame = Slow(kind=kind, late_ms=int(late_ms))
+        for session in self._sessions:
+            session.connection.send(frame)
+
     def close_silent(self, *, now: float, was_paused: bool) -> None:
         """Close the streams whose other side has sent no heartbeat for too long.
 
--- a/src/pimentoscale/serving/node.py
+++ b/src/pimentoscale/serving/node.py
@@ -221,11 +221,17 @@
         """Connect the parts that tell each other of changes."""
         self._acceptor.on_fetch = self._distribution.take_fetch
         self._acceptor.on_heard = self._distribution.take_heartbeat
+        self._runner.on_late = self._note_late
         self._acceptor.on_words = self._take_words
         self._acceptor.on_closed = self._forget_connection
         self._overlay.watchers.append(self._router.note_member)
         self._distribution.configuration_watchers.append(self._runner.configure)
 
+    def _note_late(self, kind: str, late_ms: float) -> None:
+        """Tell the own router and all connected nodes of a late upstream."""
+        self._router.note_slow(self.state.holder.instance, kind, late_ms)
+        self._acceptor.announce_slow(kind, late_ms)
+
     def _take_words(self, frame: Announcements, source: Connection) -> None:
         self._overlay.take_words(frame, source)
 
--- a/src/pimentoscale/serving/peers.py
+++ b/src/pimentoscale/serving/peers.py
@@ -16,6 +16,7 @@
     Peer,
     PeerUnreachableError,
     Records,
+    Slow,
 )
 from pimentoscale.stream.frames import PROTOCOL_VERSION
 from pimentoscale.timeline import EventName
@@ -52,6 +53,7 @@
         self.down_watchers: list[Callable[[Peer], None]] = []
         self.record_watchers: list[Callable[[Records], None]] = []
         self.word_watchers: list[Callable[[Announcements, Peer], None]] = []
+        self.slow_watchers: list[Callable[[Hello, Slow], None]] = []
         self.leaving_watchers: list[LeavingWatcher] = []
         self.heartbeat_watchers: list[Callable[[Hello, Heartbeat], None]] = []
         self.get_held: Callable[[], int] = lambda: 0
@@ -141,6 +143,11 @@
         for watch in self.word_watchers:
             watch(frame, peer)
 
+    def on_slow(self, *, remote: Hello, frame: Slow) -> None:
+        """Pass on that a target's upstream answers late."""
+        for watch in self.slow_watchers:
+            watch(remote, frame)
+
     def on_heartbeat(self, *, remote: Hello, frame: Heartbeat) -> None:
         """Take note of a heartbeat from the other side."""
         self._state.observe(frame.clock)
--- a/src/pimentoscale/serving/router.py
+++ b/src/pimentoscale/serving/router.py
@@ -12,18 +12,26 @@
 from pimentoscale.membership import Member, MemberState
 from pimentoscale.outcome import Outcome
 from pimentoscale.policy import PER_HOP_RETRIES, RetryRule
-from pimentoscale.routing import ChoiceRequest, Target, Targets, make_choice
+from pimentoscale.routing import (
+    ChoiceRequest,
+    HedgeBudget,
+    Target,
+    Targets,
+    UsualTimes,
+    make_choice,
+)
 from pimentoscale.serving.frames import make_call, read_reply
 from pimentoscale.serving.peers import Lane, PeerBook
 from pimentoscale.serving.runner import UpstreamRunner
 from pimentoscale.serving.state import NodeState
-from pimentoscale.stream import Hello, Peer, PeerLostError, PeerUnreachableError
+from pimentoscale.stream import Hello, Peer, PeerLostError, PeerUnreachableError, Slow
 from pimentoscale.timeline import EventName
 
 ANSWER_MARGIN_S = 0.25
 UNREACHABLE_PAUSE_S = 0.5
 RETRY_PAUSE_S = 0.005
 OWN_OCCUPANCY = 0.5
+LEAST_TARGETS_TO_HEDGE = 2
 
 log = get_logger("router")
 
@@ -69,9 +77,12 @@
         self._runner = runner
         self._services: dict[str, Targets] = {}
         self._source = source
+        self._hedges = HedgeBudget()
+        self._usual = UsualTimes()
         self._choice = make_choice(name=state.mode.target_choice, source=source)
         peers.up_watchers.append(self._note_up)
         peers.down_watchers.append(self._note_down)
+        peers.slow_watchers.append(self._note_slow)
 
     def note_member(self, member: Member) -> None:
         """Take over a word on a member."""
@@ -98,6 +109,16 @@
         if target is not None:
             target.is_usable = False
 
+    def _note_slow(self, remote: Hello, frame: Slow) -> None:
+        self.note_slow(remote.instance, frame.kind, frame.late_ms)
+
+    def note_slow(self, instance: str, kind: str, late_ms: float) -> None:
+        """Take a target's own word that its upstream answers late."""
+        target = self._find_target(instance)
+        if target is not None:
+            now = asyncio.get_running_loop().time()
+            target.note_late(kind=kind, late_ms=late_ms, now=now)
+
     def _find_target(self, instance: str) -> Target | None:
         member = self._state.directory.find(instance=instance)
         targets = self._services.get(member.service) if member else None
@@ -155,6 +176,65 @@
         target = self._choose(journey, now)
         if isinstance(target, CallError):
             return Answer.of_error(target)
+        delay_ms = self._get_hedge_delay_ms(journey)
+        if delay_ms is None:
+            return await self._attempt_at(journey, target)
+        return await self._attempt_hedged(journey, target, delay_ms)
+
+    def _get_hedge_delay_ms(self, journey: _Journey) -> float | None:
+        """Return when to send a second attempt; None where there must be none.
+
+        The retry that a hedge costs is set aside before the first attempt is lent
+        the rest.
+        """
+        kind = journey.kind
+        is_short = kind.idempotent and kind.length == "short"
+        may_hedge = is_short and journey.data is not None
+        if not (may_hedge and self._state.mode.sends_hedges):
+            return None
+        if len(self._services[kind.service]) < LEAST_TARGETS_TO_HEDGE:
+            return None
+        self._hedges.note_call(part=self._state.configuration.policy.hedge_part)
+        delay_ms = self._usual.get_late_ms(journey.context.kind)
+        if delay_ms is None or not journey.context.budget.spend():
+            return None
+        return delay_ms
+
+    async def _attempt_hedged(
+        self, journey: _Journey, target: Target, delay_ms: float
+    ) -> Answer:
+        """Attempt at a target, and at another one too if the answer is late."""
+        context = journey.context
+        first = asyncio.create_task(self._attempt_at(journey, target))
+        attempts = {first}
+        try:
+            done, _ = await asyncio.wait(attempts, timeout=delay_ms / 1000)
+            if done:
+                context.budget.refund()
+                return first.result()
+            other = self._choose_hedge(journey, target, delay_ms)
+            if other is None:
+                context.budget.refund()
+                return await first
+            self._state.metrics.count("hedges", context.kind)
+            attempts.add(asyncio.create_task(self._attempt_at(journey, other)))
+            return await _wait_best(attempts)
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
+
+    def _choose_hedge(
+        self, journey: _Journey, late: Target, delay_ms: float
+    ) -> Target | None:
+        """Return another target for a late call, if one more may be sent."""
+        now = asyncio.get_running_loop().time()
+        late.note_late(kind=journey.context.kind, late_ms=delay_ms, now=now)
+        other = self._choose(journey, now)
+        if isinstance(other, CallError) or other.instance in journey.tried:
+            return None
+        return other if self._hedges.spend() else None
+
+    async def _attempt_at(self, journey: _Journey, target: Target) -> Answer:
         journey.tried.add(target.instance)
         target.out += 1
         try:
@@ -173,7 +253,6 @@
             pool = usable
         else:
             pool = targets.list_candidates(
-                zone=self._state.zone,
                 importance=journey.kind.importance,
                 tried=journey.tried,
                 now=now,
@@ -187,10 +266,17 @@
             out_of_zone_ms=policy.out_of_zone_ms,
         )
         own = self._find_own(pool)
-        if own is not None and own.get_occupancy(now=now) <= OWN_OCCUPANCY:
+        if own is not None and self._should_stay(own, journey, now):
             return own
         return self._choice.choose(pool, request, now=now)
 
+    def _should_stay(self, own: Target, journey: _Journey, now: float) -> bool:
+        """Tell whether the own upstream has room and is as quick as usual."""
+        kind = journey.context.kind
+        usual_ms = self._usual.get_late_ms(kind)
+        is_quick = usual_ms is None or own.get_latency_ms(kind, now=now) < usual_ms
+        return is_quick and own.get_occupancy(now=now) <= OWN_OCCUPANCY
+
     def _find_own(self, pool: list[Target]) -> Target | None:
         """Return this node's own upstream, which is reached without a hop."""
         if self._state.mode.in_order_of_arrival:
@@ -285,6 +371,8 @@
             return
         latency_ms = (now - started) * 1000
         kind = journey.context.kind
+        if answer.outcome is Outcome.ANSWERED:
+            self._usual.note_answer(kind=kind, latency_ms=latency_ms)
         target.note_answer(kind=kind, latency_ms=latency_ms, load=load, now=now)
         targets = self._services[journey.kind.service]
         policy = self._state.configuration.policy
@@ -294,6 +382,25 @@
             )
 
 
+async def _wait_best(attempts: "set[asyncio.Task[Answer]]") -> Answer:
+    """Return the first whole answer, or the last attempt's failure.
+
+    A failure goes before a refusal, since the other attempt may have run.
+    """
+    pending = set(attempts)
+    failed: Answer | None = None
+    while True:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for attempt in done:
+            answer = attempt.result()
+            if answer.outcome is Outcome.ANSWERED:
+                return answer
+            if failed is None or answer.outcome is Outcome.FAILED:
+                failed = answer
+        if not pending and failed is not None:
+            return failed
+
+
 def _make_target(member: Member) -> Target:
     return Target(
         instance=member.instance,
--- a/src/pimentoscale/serving/runner.py
+++ b/src/pimentoscale/serving/runner.py
@@ -1,7 +1,7 @@
 """Runs calls on the node's own upstream, behind the admission gate."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from pimentoscale.admission import (
     Admission,
@@ -24,6 +24,7 @@
 from pimentoscale.errors import CallError, ErrorKind
 from pimentoscale.logs import get_logger
 from pimentoscale.outcome import Outcome
+from pimentoscale.routing import UsualTimes
 from pimentoscale.serving import head
 from pimentoscale.serving.state import NodeState
 from pimentoscale.settings import Address
@@ -38,6 +39,8 @@
 
 SHED_STATUS = 503
 LEAST_ERROR_STATUS = 500
+TELL_PERIOD_S = 0.25
+LATE_FACTOR = 2.0
 
 log = get_logger("runner")
 
@@ -67,6 +70,9 @@
             name=state.mode.limit_law, slots=upstream.slots, least=policy.min_limit
         )
         self._gate = Admission(law=law, policy=policy, long_share=0.5, now=now)
+        self._usual = UsualTimes()
+        self._told_at: dict[str, float] = {}
+        self.on_late: Callable[[str, float], None] | None = None
         self.contexts = ContextTable()
         self.in_progress = 0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -196,6 +202,8 @@
             kind = ErrorKind.UPSTREAM_UNREACHABLE
             return Answer.of_error(CallError(kind=kind, detail=str(error)))
         token = self.contexts.add(context=context)
+        started = asyncio.get_running_loop().time()
+        timer = self._watch_late(context.kind)
         try:
             async with asyncio.timeout_at(context.deadline):
                 answer = await self._pool.send(
@@ -210,8 +218,29 @@
         except BaseException:
             self._end_exchange(connection, token)
             raise
+        finally:
+            if timer is not None:
+                timer.cancel()
+        elapsed = asyncio.get_running_loop().time() - started
+        self._usual.note_answer(kind=context.kind, latency_ms=elapsed * 1000)
         return self._pass_on(context, slot, connection, token, answer)
 
+    def _watch_late(self, kind: str) -> asyncio.TimerHandle | None:
+        """Start a timer that tells the callers' nodes if the answer is late."""
+        late_ms = self._usual.get_late_ms(kind)
+        if late_ms is None:
+            return None
+        loop = asyncio.get_running_loop()
+        return loop.call_later(late_ms / 1000, self._note_late, kind, late_ms)
+
+    def _note_late(self, kind: str, late_ms: float) -> None:
+        now = asyncio.get_running_loop().time()
+        if now - self._told_at.get(kind, -TELL_PERIOD_S) < TELL_PERIOD_S:
+            return
+        self._told_at[kind] = now
+        if self.on_late is not None:
+            self.on_late(kind, LATE_FACTOR * late_ms)
+
     def _describe_call(self, context: CallContext, token: str) -> Sequence[Header]:
         now = asyncio.get_running_loop().time()
         left_ms = max(1, int(context.time_left(now=now) * 1000))
--- a/src/pimentoscale/stream/__init__.py
+++ b/src/pimentoscale/stream/__init__.py
@@ -17,6 +17,7 @@
     Records,
     Reply,
     ResolveTicket,
+    Slow,
     Verdict,
 )
 from pimentoscale.stream.peer import Peer, PeerLostError, PeerUnreachableError
@@ -41,6 +42,7 @@
     "Records",
     "Reply",
     "ResolveTicket",
+    "Slow",
     "Verdict",
     "decode_frame",
     "encode_frame",
--- a/src/pimentoscale/stream/frames.py
+++ b/src/pimentoscale/stream/frames.py
@@ -159,6 +159,15 @@
     incarnation: int
 
 
+@register_frame(15)
+@dataclass(slots=True, kw_only=True)
+class Slow(Frame):
+    """The sender's upstream has not answered a call after the kind's usual time."""
+
+    kind: str
+    late_ms: int
+
+
 @register_frame(9)
 @dataclass(slots=True, kw_only=True)
 class RecordIntent(Frame):
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -23,6 +23,7 @@
     Leaving,
     Records,
     Reply,
+    Slow,
     Verdict,
 )
 from pimentoscale.stream.transfer import BodyReceiver, BodySender, digest_bytes
@@ -65,6 +66,9 @@
     def on_announcements(self, *, frame: Announcements, peer: "Peer") -> None:
         """Take in words on members."""
 
+    def on_slow(self, *, remote: Hello, frame: Slow) -> None:
+        """Take note that the other side's upstream answers late."""
+
     def on_leaving(self, *, remote: Hello) -> None:
         """Take note that the other side takes no new work."""
 
@@ -254,6 +258,8 @@
                 self._observer.on_announcements(frame=frame, peer=self)
             case Heartbeat():
                 self._observer.on_heartbeat(remote=remote, frame=frame)
+            case Slow():
+                self._observer.on_slow(remote=remote, frame=frame)
             case Leaving():
                 self._observer.on_leaving(remote=remote)
             case _:
--- a/src/pimentoscale_bench/caller.py
+++ b/src/pimentoscale_bench/caller.py
@@ -24,6 +24,7 @@
 LOST = "lost"
 MAX_SUBMISSIONS = 4
 RESUBMIT_PAUSE_S = 0.2
+BODIES = 4
 LOST_ERRORS = (UpstreamBrokenError, UpstreamUnreachableError, BodyBrokenError)
 
 
@@ -92,6 +93,7 @@
         self._name = name
         self._prefix = prefix
         self._hard_retries = hard_retries
+        self._bodies: dict[str, list[bytes]] = {}
         self._count = 0
         self.calls: list[CallRecord] = []
 
@@ -106,7 +108,7 @@
         self._count += 1
         request = f"{self._prefix}-{self._count}"
         record = CallRecord(request=request, kind=kind, started=time.time())
-        body = self._source.randbytes(self._kinds[kind].body_bytes)
+        body = self._choose_body(kind)
         ticket = ""
         for _ in range(submissions + 1):
             attempt = await self.send(kind, request, body, ticket)
@@ -124,6 +126,14 @@
             self.calls.append(record)
         return record
 
+    def _choose_body(self, kind: str) -> bytes:
+        """Return one of a few bodies, made once so that large ones cost no time."""
+        bodies = self._bodies.setdefault(kind, [])
+        if len(bodies) < BODIES:
+            bodies.append(self._source.randbytes(self._kinds[kind].body_bytes))
+            return bodies[-1]
+        return self._source.choice(bodies)
+
     def _is_final(self, kind: str, record: CallRecord) -> bool:
         if self._kinds[kind].idempotent:
             return len(record.attempts) > self._hard_retries
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,113 @@
+"""Choice of targets, probation and hedging."""
+
+import random
+
+import pytest
+
+from pimentoscale.admission import Load
+from pimentoscale.configuration import Policy
+from pimentoscale.routing import (
+    ChoiceRequest,
+    HedgeBudget,
+    Target,
+    Targets,
+    UsualTimes,
+    make_choice,
+)
+from pimentoscale.routing.hedging import SAVED_AT_START
+
+KIND = "catalogue.check"
+REQUEST = ChoiceRequest(kind=KIND, zone="a", out_of_zone_ms=2)
+
+
+def make_target(name: str, zone: str = "a") -> Target:
+    return Target(instance=name, zone=zone, service="catalogue", slots=10)
+
+
+def make_load(in_flight: int = 0, admitted: int = 0) -> Load:
+    return Load(in_flight=in_flight, limit=10, queue_ms=0, admitted=admitted)
+
+
+def answer(target: Target, latency_ms: float, times: int = 20) -> None:
+    for _ in range(times):
+        target.note_answer(kind=KIND, latency_ms=latency_ms, load=make_load(), now=0.0)
+
+
+@pytest.fixture
+def targets() -> Targets:
+    targets = Targets()
+    for target in (make_target("near"), make_target("far", zone="b")):
+        targets.add(target)
+    return targets
+
+
+def test_lost_target_is_no_candidate(targets: Targets) -> None:
+    for target in targets:
+        target.is_usable = target.instance != "near"
+    found = targets.list_candidates(importance=50, tried=(), now=0.0)
+    assert [target.instance for target in found] == ["far"]
+
+
+def test_targets_not_tried_go_first(targets: Targets) -> None:
+    found = targets.list_candidates(importance=50, tried={"near"}, now=0.0)
+    assert [target.instance for target in found] == ["far"]
+
+
+def test_target_that_admits_only_more_important_work_is_left_out(
+    targets: Targets,
+) -> None:
+    for target in targets:
+        target.note_refusal(load=make_load(admitted=60), now=0.0)
+    assert targets.list_candidates(importance=50, tried=(), now=0.05) == []
+    assert len(targets.list_candidates(importance=60, tried=(), now=0.05)) == 2
+    assert len(targets.list_candidates(importance=50, tried=(), now=0.5)) == 2
+
+
+def test_own_zone_is_chosen_until_it_is_slower_than_the_way(targets: Targets) -> None:
+    choice = make_choice(name="two_choices", source=random.Random(1))
+    near, far = list(targets)
+    for target in (near, far):
+        answer(target, 10.0)
+    chosen = {choice.choose([near, far], REQUEST, now=0.0) for _ in range(50)}
+    assert chosen == {near}
+    near.note_late(kind=KIND, late_ms=40.0, now=0.0)
+    chosen = {choice.choose([near, far], REQUEST, now=0.0) for _ in range(50)}
+    assert chosen == {far}
+
+
+def test_straggler_goes_on_probation_but_not_all_at_once(targets: Targets) -> None:
+    near, far = list(targets)
+    answer(near, 100.0)
+    answer(far, 10.0)
+    assert targets.judge(near, kind=KIND, policy=Policy(), now=0.0)
+    assert near.is_on_probation(now=0.5)
+    assert not near.is_on_probation(now=5.0)
+    answer(near, 10.0)
+    answer(far, 100.0)
+    assert not targets.judge(far, kind=KIND, policy=Policy(), now=0.5)
+
+
+def test_call_is_late_after_more_than_the_usual_time() -> None:
+    usual = UsualTimes()
+    assert usual.get_late_ms(KIND) is None
+    for number in range(100):
+        usual.note_answer(kind=KIND, latency_ms=10.0 + number % 3)
+    late_ms = usual.get_late_ms(KIND)
+    assert late_ms is not None
+    assert 12.0 < late_ms < 16.0
+
+
+def test_hedges_stay_within_their_part_of_the_calls() -> None:
+    budget = HedgeBudget()
+    hedges = 0
+    for _ in range(1000):
+        budget.note_call(part=0.05)
+        hedges += budget.spend()
+    assert hedges <= 50 + SAVED_AT_START
+
+
+def test_slow_time_long_ago_does_not_hold_a_target_down() -> None:
+    target = make_target("near")
+    answer(target, 100.0)
+    target.note_answer(kind=KIND, latency_ms=10.0, load=make_load(), now=10.0)
+    assert target.get_latency_ms(KIND, now=10.0) < 15.0
