--- a/src/pimentoscale_bench/program.py
+++ b/src/pimentoscale_bench/program.py
@@ -21,6 +21,7 @@
     list_experiments,
     load_experiments,
 )
+from pimentoscale_bench.fleet import Fleet, run_fleet
 from pimentoscale_bench.report import ExperimentReport, print_report
 
 EXIT_TARGET_MISSED = 1
@@ -78,6 +79,38 @@
         sys.exit(EXIT_TARGET_MISSED)
 
 
+@app.command
+def serve(
+    *,
+    deployment: Annotated[str, cyclopts.Parameter(help="name or file")],
+    scale: str = "small",
+    policy: str = "adaptive",
+) -> None:
+    """Start a deployment and leave it running until it is interrupted."""
+    path = DEPLOYMENTS / f"{deployment}.toml"
+    if not path.exists() or scale not in ("small", "full"):
+        print(f"bad call: no deployment {deployment} at {scale}", file=sys.stderr)
+        sys.exit(EXIT_BAD_CALL)
+    with tempfile.TemporaryDirectory(prefix="pimento-") as folder:
+        fleet = Fleet(
+            deployment=read_deployment(path).scale(scale),
+            folder=Path(folder),
+            policy=policy,
+        )
+        uvloop.run(_serve(fleet))
+
+
+async def _serve(fleet: Fleet) -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopped.set)
+    async with run_fleet(fleet):
+        for plan in fleet.plans:
+            console.print(f"{plan.instance} in {plan.zone}: http://{plan.http}")
+        await stopped.wait()
+
+
 async def _run(experiment: Experiment, request: ExperimentRequest) -> ExperimentReport:
     """Run an experiment; a termination ends it and the processes it started."""
     task = asyncio.ensure_future(experiment(request))
