--- a/src/pimentoscale/serving/head.py
+++ b/src/pimentoscale/serving/head.py
@@ -32,6 +32,7 @@
 NOT_PASSED_ON = frozenset(
     (
         b"host",
+        b"date",
         b"connection",
         b"keep-alive",
         b"transfer-encoding",
--- /dev/null
+++ b/tests/test_programs.py
@@ -0,0 +1,82 @@
+"""The programs' exit codes and what they print."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+import tomli_w
+
+from pimentoscale.programs.picture import draw_events
+from pimentoscale.timeline import Event, EventName, HybridClock, Timeline, merge_events
+from tests.test_settings import make_document
+
+UNREACHABLE = "127.254.254.254:1"
+
+
+def run_program(module: str, *arguments: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", f"pimentoscale.programs.{module}", *arguments]
+    return subprocess.run(command, capture_output=True, text=True, timeout=60)
+
+
+def test_node_checks_its_settings(tmp_path: Path) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(tomli_w.dumps(make_document()))
+    assert run_program("node", "--settings", str(path), "--check").returncode == 0
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [({"zone": "No Such Zone"}, "zone"), ({"policy": "wishful"}, "policy")],
+)
+def test_node_names_each_fault(
+    tmp_path: Path, change: dict[str, str], key: str
+) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(tomli_w.dumps(make_document() | change))
+    done = run_program("node", "--settings", str(path))
+    assert done.returncode == 2
+    assert done.stderr.startswith(f"{key}: saw")
+
+
+def test_operator_names_a_bad_file(tmp_path: Path) -> None:
+    path = tmp_path / "patch.toml"
+    path.write_text("base = -1\nsets = 3\n")
+    done = run_program("operator", "config", "submit", str(path), "--node", UNREACHABLE)
+    assert done.returncode == 2
+    assert "base: saw -1" in done.stderr
+    assert "sets: saw an unknown key" in done.stderr
+
+
+def test_operator_names_an_unreachable_node() -> None:
+    done = run_program("operator", "config", "show", "--node", UNREACHABLE)
+    assert done.returncode == 7
+    assert UNREACHABLE in done.stderr
+
+
+def test_events_of_two_processes_are_in_causal_order() -> None:
+    clocks = [HybridClock(), HybridClock()]
+    lines = [
+        Timeline(instance=name, clock=clock)
+        for name, clock in zip(("a", "b"), clocks, strict=True)
+    ]
+    for _ in range(5):
+        lines[0].record(EventName.CALL_ENTERED, now_ms=5_000, request="r")
+        clocks[1].observe(stamp=clocks[0].tick(now_ms=5_000), now_ms=1_000)
+        lines[1].record(EventName.CALL_STARTED, now_ms=1_000, request="r/1")
+        clocks[0].observe(stamp=clocks[1].tick(now_ms=1_000), now_ms=5_000)
+    merged = list(merge_events(line.select(request="r") for line in lines))
+    assert [event.instance for event in merged] == ["a", "b"] * 5
+
+
+def test_clock_far_ahead_is_not_followed() -> None:
+    clock = HybridClock()
+    clock.observe(stamp=10**9 << 16, now_ms=1_000)
+    assert clock.tick(now_ms=1_000) == 1_000 << 16
+
+
+def test_picture_escapes_what_events_say() -> None:
+    event = Event(clock=1 << 16, instance="i", name="n", detail="<script>")
+    page = draw_events([event])
+    assert "<script>" not in page
+    assert "&lt;script&gt;" in page
