Close connections for calls that are not used for 60 s

Cause: docs/capacity.py shows that a node's connections are what breaks the bound on processor time first; a node kept one for each target that it had ever called. Change: connections for calls that are up and unused are closed and opened again when needed; closing one says nothing about its target. The slope by connections is not measured.

--- a/src/pimentoscale/serving/node.py
+++ b/src/pimentoscale/serving/node.py
@@ -68,7 +68,7 @@
         source: random.Random,
         now: float,
     ) -> None:
-        self.state = _make_state(settings, mode)
+        self.state = make_state(settings, mode)
         self._source = source
         self._guard = PauseGuard(now=now)
         self._peers = PeerBook(state=self.state, feed=self.state.feed)
@@ -255,6 +255,7 @@
             self.state.is_confirmed = self._distribution.is_confirmed(now=now)
             ticks += 1
             if ticks % CLEAN_EVERY_TICKS == 0:
+                self._peers.close_idle(now=now)
                 self._submissions.forget_expired()
             await asyncio.sleep(TICK_S)
 
@@ -283,7 +284,8 @@
         log.error("a task has ended", exc_info=task.exception())
 
 
-def _make_state(settings: NodeSettings, mode: PolicyMode) -> NodeState:
+def make_state(settings: NodeSettings, mode: PolicyMode) -> NodeState:
+    """Return the state of a node that has just started: a new incarnation."""
     incarnation = get_wall_ms() * 1000 + os.getpid() % 1000
     clock = HybridClock()
     own = make_own_member(
--- a/src/pimentoscale/serving/peers.py
+++ b/src/pimentoscale/serving/peers.py
@@ -22,6 +22,7 @@
 from pimentoscale.timeline import EventName
 
 CONNECT_WAIT_S = 0.5
+IDLE_CLOSE_S = 60.0
 MAX_AGE_MS = 86_400_000
 
 log = get_logger("peers")
@@ -49,6 +50,7 @@
         self._peers: dict[Lookup, Peer] = {}
         self._incarnations: dict[Lookup, int] = {}
         self._up: dict[Lookup, asyncio.Event] = {}
+        self._used_at: dict[Lookup, float] = {}
         self.up_watchers: list[UpWatcher] = []
         self.down_watchers: list[Callable[[Peer], None]] = []
         self.record_watchers: list[Callable[[Records], None]] = []
@@ -84,6 +86,7 @@
     def open(self, member: Member, lane: Lane) -> Peer:
         """Return the connection to a member, opening it if there is none."""
         lookup = (member.instance, lane)
+        self._used_at[lookup] = asyncio.get_running_loop().time()
         peer = self._peers.get(lookup)
         if peer is not None and self._incarnations[lookup] == member.incarnation:
             return peer
@@ -124,6 +127,24 @@
             if peer is not None:
                 peer.stop()
 
+    def close_idle(self, *, now: float) -> int:
+        """Close the connections for calls that have long not been used.
+
+        So a node holds connections for what it calls now, not for all it has ever
+        called. One that is down is kept, so that its target is found usable again.
+        """
+        idle = [
+            lookup
+            for lookup, peer in self._peers.items()
+            if lookup[1] is not Lane.CONTROL
+            and peer.is_up
+            and now - self._used_at[lookup] > IDLE_CLOSE_S
+        ]
+        for lookup in idle:
+            # Out of the book first: closing it says nothing about the target.
+            self._peers.pop(lookup).stop()
+        return len(idle)
+
     def close_all(self) -> None:
         """Close all connections."""
         for peer in self._peers.values():
