--- a/src/pimentoscale_bench/experiments.py
+++ b/src/pimentoscale_bench/experiments.py
@@ -37,7 +37,16 @@
 
 
 Experiment = Callable[[ExperimentRequest], Awaitable[ExperimentReport]]
-MODULES = ("mixed", "holds", "latency", "overload", "interference", "slopes", "patches")
+MODULES = (
+    "mixed",
+    "holds",
+    "latency",
+    "overload",
+    "interference",
+    "starts",
+    "slopes",
+    "patches",
+)
 _EXPERIMENTS: dict[str, Experiment] = {}
 
 
--- a/src/pimentoscale_bench/trials.py
+++ b/src/pimentoscale_bench/trials.py
@@ -60,6 +60,7 @@
     disturb: Disturbance | None = None,
     hard_retries: int = 0,
     name: str = "",
+    entries: slice = slice(None),
 ) -> Trial:
     """Run a fresh fleet under a policy and a load, and audit it."""
     name = name or policy
@@ -72,7 +73,7 @@
     async with run_fleet(fleet):
         await asyncio.sleep(RAMP_WAIT_S)
         caller = Caller(
-            entries=[plan.http for plan in fleet.plans],
+            entries=[plan.http for plan in fleet.plans[entries]],
             kinds=deployment.kinds,
             source=make_source(request.seed, "caller"),
             hard_retries=hard_retries,
