--- a/benchmarks/bench_decisions.py
+++ b/benchmarks/bench_decisions.py
@@ -28,13 +28,13 @@
     )
 
 
-def make_queued_gate(queued: int) -> Admission:
+def make_queued_admission(queued: int) -> Admission:
     policy = Policy(queue_factor=1e6, ramp_s=0)
     law = make_limit_law(name="fixed", slots=1, least=1)
-    gate = Admission(law=law, policy=policy, long_share=0.5, now=0.0)
+    admission = Admission(law=law, policy=policy, long_share=0.5, now=0.0)
     for number in range(queued + 1):
-        gate.offer(make_entry(number), now=0.0)
-    return gate
+        admission.offer(make_entry(number), now=0.0)
+    return admission
 
 
 def make_targets(count: int) -> list[Target]:
@@ -54,15 +54,15 @@
     return min(times)
 
 
-def pass_one(gate: Admission) -> None:
+def pass_one(admission: Admission) -> None:
     entry = make_entry(50)
-    gate.offer(entry, now=0.0)
-    gate.withdraw(entry)
+    admission.offer(entry, now=0.0)
+    admission.withdraw(entry)
 
 
 @pytest.mark.parametrize("queued", [10, 100, 1000, 10_000])
 def bench_admit(benchmark: BenchmarkFixture, queued: int) -> None:
-    benchmark(pass_one, make_queued_gate(queued))
+    benchmark(pass_one, make_queued_admission(queued))
 
 
 @pytest.mark.parametrize("count", [4, 40, 400])
@@ -74,6 +74,6 @@
 
 
 def bench_admission_grows_no_faster_than_a_logarithm() -> None:
-    few, many = make_queued_gate(10), make_queued_gate(10_000)
+    few, many = make_queued_admission(10), make_queued_admission(10_000)
     ratio = measure(lambda: pass_one(many)) / measure(lambda: pass_one(few))
     assert ratio <= GROWTH_BOUND
--- a/docs/capacity.py
+++ b/docs/capacity.py
@@ -16,7 +16,7 @@
 TICKET_KEPT_S = 180
 EVENT_BYTES = 400
 KEPT_EVENTS = 4_096
-WORDS_PER_RESTART = 3
+ANNOUNCEMENTS_PER_RESTART = 3
 LOG_APPENDS_PER_S = 300
 RETENTION_H = 1
 
@@ -46,7 +46,7 @@
     call_peers = SERVICES_CALLED * NODES / SERVICES
     peers = call_peers + TREE_DEGREE + 1 + 3
     patches = PATCHES_PER_DAY / DAY_S
-    words = RESTARTS_PER_DAY * WORDS_PER_RESTART / DAY_S
+    announced = RESTARTS_PER_DAY * ANNOUNCEMENTS_PER_RESTART / DAY_S
 
     print(f"nodes in a zone                     {zone:10.0f}")
     print(f"calls a second at each target       {calls:10.1f}")
@@ -57,13 +57,13 @@
     fold = 100 * patches * at(slopes["patch_us"], SERVICES) / 1e6
     consents = 100 * patches * ZONES * fixed["heartbeat_us"] / 1e6
     member = (
-        100 * words * (fixed["announcement_us"] + at(slopes["plan_us"], zone)) / 1e6
+        100 * announced * (fixed["announcement_us"] + at(slopes["plan_us"], zone)) / 1e6
     )
     rows = {
         "heartbeats and ticks": idle,
         "folding patches": fold,
         "consents": consents,
-        "words on members": member,
+        "announcements of members": member,
     }
     print_rows(rows, BOUND_CPU_PERCENT)
     print("Bytes a second for control")
@@ -71,7 +71,9 @@
     rows = {
         "heartbeats": at(slopes["idle_bytes_per_s"], peers),
         "records passed on": patches * patch_bytes * (1 + TREE_DEGREE),
-        "words on members": words * fixed["announcement_bytes"] * (1 + TREE_DEGREE),
+        "announcements of members": announced
+        * fixed["announcement_bytes"]
+        * (1 + TREE_DEGREE),
     }
     print_rows(rows, BOUND_BYTES_PER_S)
     print("Resident memory in MB")
@@ -97,7 +99,7 @@
     lost_ms = zone * fixed["announcement_us"] / 1000
     snapshot_mb = at(slopes["snapshot_bytes"], SERVICES) / MB
     print(f"  mass restart, one append a node   {restart_s:10.0f} s")
-    print(f"  zone lost, words at each node     {lost_ms:10.1f} ms")
+    print(f"  zone lost, time at each node      {lost_ms:10.1f} ms")
     print(f"  snapshot for a restarted node     {snapshot_mb:10.2f} MB")
     most = (BOUND_CPU_PERCENT - slopes["idle_cpu_percent"]["start"]) / slopes[
         "idle_cpu_percent"
--- a/src/pimentoscale/admission/__init__.py
+++ b/src/pimentoscale/admission/__init__.py
@@ -1,6 +1,6 @@
 """Limits, queues and displacement at the node beside the target."""
 
-from pimentoscale.admission.gate import Admission, Decision, Freed, Load, Verdict
+from pimentoscale.admission.controller import Admission, Decision, Freed, Load, Verdict
 from pimentoscale.admission.laws import LimitLaw, Sample, make_limit_law
 from pimentoscale.admission.shares import Length
 from pimentoscale.admission.waiting import Entry
--- a/src/pimentoscale/admission/gate.py
+++ b/src/pimentoscale/admission/controller.py
@@ -1,4 +1,4 @@
-"""The gate before one upstream's slots."""
+"""The admission before one upstream's slots."""
 
 from dataclasses import dataclass, field
 from enum import Enum
--- a/src/pimentoscale/admission/waiting.py
+++ b/src/pimentoscale/admission/waiting.py
@@ -12,7 +12,7 @@
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class Entry:
-    """A call at the gate.
+    """A call under admission control.
 
     `deadline` and `arrived` are on the process's monotonic clock, in seconds.
     """
--- a/src/pimentoscale/membership/directory.py
+++ b/src/pimentoscale/membership/directory.py
@@ -9,7 +9,7 @@
 
 
 class Directory:
-    """Keeps the latest word on each member, in whatever order words arrive."""
+    """Keeps the latest announcement of each member, whatever the order of arrival."""
 
     __slots__ = ("_gone_at", "_members", "_zones", "changes")
 
@@ -26,7 +26,7 @@
         return iter(self._members.values())
 
     def find(self, *, instance: str) -> Member | None:
-        """Return the latest word on an instance."""
+        """Return the latest announcement of an instance."""
         return self._members.get(instance)
 
     def list_zone(self, *, zone: str) -> list[str]:
@@ -38,7 +38,7 @@
         return sorted(zone for zone, names in self._zones.items() if names)
 
     def apply(self, member: Member, *, now: float) -> bool:
-        """Take in a word on a member; return True if it is news."""
+        """Take in a announcement of a member; return True if it is news."""
         known = self._members.get(member.instance)
         if known is not None and member.precedence <= known.precedence:
             return False
--- a/src/pimentoscale/membership/member.py
+++ b/src/pimentoscale/membership/member.py
@@ -41,7 +41,7 @@
 
     @property
     def precedence(self) -> tuple[int, int, int]:
-        """Return the key by which the later word on a member is known."""
+        """Return the key by which the later announcement of a member is known."""
         return (self.incarnation, self.sequence, _RANKS[self.state])
 
 
--- a/src/pimentoscale/serving/acceptor.py
+++ b/src/pimentoscale/serving/acceptor.py
@@ -13,7 +13,7 @@
     read_context,
     read_request,
 )
-from pimentoscale.serving.pause import PauseGuard
+from pimentoscale.serving.pause import PauseDetector
 from pimentoscale.serving.peers import PeerBook
 from pimentoscale.serving.runner import UpstreamRunner
 from pimentoscale.serving.state import NodeState
@@ -77,18 +77,18 @@
         runner: UpstreamRunner,
         submissions: Submissions,
         witnesses: Witnesses,
-        guard: PauseGuard,
+        pauses: PauseDetector,
     ) -> None:
         self._state = state
         self._peers = peers
         self._runner = runner
         self._submissions = submissions
         self._witnesses = witnesses
-        self._guard = guard
+        self._pauses = pauses
         self._sessions: set[_Session] = set()
         self._server: asyncio.Server | None = None
         self.on_fetch: Callable[[Connection, Hello, FetchRecords], None] | None = None
-        self.on_words: Callable[[Announcements, Connection], None] | None = None
+        self.on_announcements: Callable[[Announcements, Connection], None] | None = None
         self.on_heard: Callable[[Connection, Hello, Heartbeat], None] | None = None
         self.on_closed: Callable[[Connection], None] | None = None
         self.bad_streams = 0
@@ -184,8 +184,8 @@
                 self._take_heartbeat(session, frame)
             case FetchRecords() if self.on_fetch is not None:
                 self.on_fetch(session.connection, session.remote, frame)
-            case Announcements() if self.on_words is not None:
-                self.on_words(frame, session.connection)
+            case Announcements() if self.on_announcements is not None:
+                self.on_announcements(frame, session.connection)
             case _:
                 raise FrameError(f"{type(frame).__name__} is not for this side")
 
@@ -257,8 +257,8 @@
 
     async def _run(self, frame: Call, body: Body) -> tuple[Answer, int]:
         now = asyncio.get_running_loop().time()
-        if self._guard.is_overdue(now=now):
-            await self._guard.wait_current()
+        if self._pauses.is_overdue(now=now):
+            await self._pauses.wait_current()
         kind = self._state.find_kind(frame.kind)
         if kind is None:
             error = CallError(kind=ErrorKind.UNKNOWN_KIND, detail=frame.kind)
--- a/src/pimentoscale/serving/distribution.py
+++ b/src/pimentoscale/serving/distribution.py
@@ -8,7 +8,7 @@
 from pimentoscale.configuration import Configuration, ConfigurationFeed, encode_record
 from pimentoscale.logs import get_logger
 from pimentoscale.serving.overlay import Overlay
-from pimentoscale.serving.pause import PauseGuard
+from pimentoscale.serving.pause import PauseDetector
 from pimentoscale.serving.peers import MAX_AGE_MS, Lane, PeerBook
 from pimentoscale.serving.state import NodeState
 from pimentoscale.stream import (
@@ -36,12 +36,12 @@
         state: NodeState,
         peers: PeerBook,
         overlay: Overlay,
-        guard: PauseGuard,
+        pauses: PauseDetector,
     ) -> None:
         self._state = state
         self._peers = peers
         self._overlay = overlay
-        self._guard = guard
+        self._pauses = pauses
         self._feed: ConfigurationFeed = state.feed
         self._held: dict[Connection, int] = {}
         self._zones: dict[Connection, str] = {}
@@ -60,7 +60,7 @@
     def take_page(self, *, first: int, records: list[bytes], asked_at: float) -> bool:
         """Take in records from the log; return False if earlier ones are missing."""
         self._confirmed_at = max(self._confirmed_at, asked_at)
-        self._guard.confirm(asked_at=asked_at)
+        self._pauses.confirm(asked_at=asked_at)
         return self._take(first=first, records=records, snapshot=b"")
 
     def _take(self, *, first: int, records: list[bytes], snapshot: bytes) -> bool:
@@ -151,7 +151,7 @@
         )
 
     def _spread(self, before: int) -> None:
-        """Send news to the children, and word that it is held to the parent."""
+        """Send news to the children, and tell the parent that it is held."""
         for connection in list(self._held):
             connection.send(self._get_records(before, query=0))
         peer = self._overlay.get_parent_peer()
@@ -169,7 +169,7 @@
 
     def _take_from_peer(self, frame: Records) -> None:
         asked_at = self._queries.pop(frame.query, -math.inf)
-        self._guard.confirm(asked_at=asked_at)
+        self._pauses.confirm(asked_at=asked_at)
         is_whole = self._take(
             first=frame.first, records=frame.records, snapshot=frame.snapshot
         )
--- a/src/pimentoscale/serving/entry.py
+++ b/src/pimentoscale/serving/entry.py
@@ -12,7 +12,7 @@
 from pimentoscale.configuration import Kind
 from pimentoscale.errors import CallError, ErrorKind
 from pimentoscale.serving.head import CallHead
-from pimentoscale.serving.pause import PauseGuard
+from pimentoscale.serving.pause import PauseDetector
 from pimentoscale.serving.router import Router
 from pimentoscale.serving.runner import UpstreamRunner
 from pimentoscale.serving.state import NodeState
@@ -30,20 +30,20 @@
         router: Router,
         runner: UpstreamRunner,
         submissions: Submissions,
-        guard: PauseGuard,
+        pauses: PauseDetector,
     ) -> None:
         self._state = state
         self._router = router
         self._runner = runner
         self._submissions = submissions
-        self._guard = guard
+        self._pauses = pauses
         self._budgets = RequestBudgets()
 
     async def handle(self, head: CallHead, request: CallRequest) -> Answer:
         """Return the answer to a call, whatever becomes of it."""
         now = asyncio.get_running_loop().time()
-        if self._guard.is_overdue(now=now):
-            await self._guard.wait_current()
+        if self._pauses.is_overdue(now=now):
+            await self._pauses.wait_current()
         if self._state.version == 0:
             return Answer.of_error(CallError(kind=ErrorKind.NO_CONFIGURATION))
         kind = self._state.find_kind(head.kind)
--- a/src/pimentoscale/serving/log_tasks.py
+++ b/src/pimentoscale/serving/log_tasks.py
@@ -102,7 +102,7 @@
                 await asyncio.sleep(IDLE_S)
 
     async def announce(self) -> None:
-        """Append each word on this node itself until the log has it."""
+        """Append each announcement of this node itself until the log has it."""
         while True:
             await self._own_changed.wait()
             self._own_changed.clear()
--- a/src/pimentoscale/serving/node.py
+++ b/src/pimentoscale/serving/node.py
@@ -28,7 +28,7 @@
     describe_patch,
     submit_patch,
 )
-from pimentoscale.serving.pause import TICK_S, PauseGuard
+from pimentoscale.serving.pause import TICK_S, PauseDetector
 from pimentoscale.serving.peers import PeerBook
 from pimentoscale.serving.router import Router
 from pimentoscale.serving.runner import UpstreamRunner
@@ -37,7 +37,7 @@
 from pimentoscale.serving.witnesses import Witnesses
 from pimentoscale.settings import NodeSettings
 from pimentoscale.stream import Announcements, Connection
-from pimentoscale.ticket import Holder, TicketMint
+from pimentoscale.ticket import Holder, TicketIssuer
 from pimentoscale.timeline import EventName, HybridClock, Timeline
 
 DRAIN_NOTICE_S = 2.0
@@ -70,29 +70,29 @@
     ) -> None:
         self.state = make_state(settings, mode)
         self._source = source
-        self._guard = PauseGuard(now=now)
+        self._pauses = PauseDetector(now=now)
         self._peers = PeerBook(state=self.state, feed=self.state.feed)
         self._runner = UpstreamRunner(state=self.state, now=now)
         self._router = Router(
             state=self.state, peers=self._peers, runner=self._runner, source=source
         )
-        mint = TicketMint(secret=settings.ticket_secret)
+        issuer = TicketIssuer(secret=settings.ticket_secret)
         self._witnesses = Witnesses(
-            state=self.state, peers=self._peers, mint=mint, source=source
+            state=self.state, peers=self._peers, issuer=issuer, source=source
         )
         self._submissions = Submissions(
             state=self.state,
             peers=self._peers,
             router=self._router,
             witnesses=self._witnesses,
-            mint=mint,
+            issuer=issuer,
         )
         self._entry = CallEntry(
             state=self.state,
             router=self._router,
             runner=self._runner,
             submissions=self._submissions,
-            guard=self._guard,
+            pauses=self._pauses,
         )
         self.endpoint = CallEndpoint(state=self.state, entry=self._entry, source=source)
         self._acceptor = Acceptor(
@@ -101,14 +101,14 @@
             runner=self._runner,
             submissions=self._submissions,
             witnesses=self._witnesses,
-            guard=self._guard,
+            pauses=self._pauses,
         )
         self._overlay = Overlay(state=self.state, peers=self._peers)
         self._distribution = Distribution(
             state=self.state,
             peers=self._peers,
             overlay=self._overlay,
-            guard=self._guard,
+            pauses=self._pauses,
         )
         self._log = LogClient(address=settings.platform)
         self._log_tasks = LogTasks(
@@ -222,7 +222,7 @@
         self._acceptor.on_fetch = self._distribution.take_fetch
         self._acceptor.on_heard = self._distribution.take_heartbeat
         self._runner.on_late = self._note_late
-        self._acceptor.on_words = self._take_words
+        self._acceptor.on_announcements = self._take_announcements
         self._acceptor.on_closed = self._forget_connection
         self._overlay.watchers.append(self._router.note_member)
         self._distribution.configuration_watchers.append(self._runner.configure)
@@ -232,8 +232,8 @@
         self._router.note_slow(self.state.holder.instance, kind, late_ms)
         self._acceptor.announce_slow(kind, late_ms)
 
-    def _take_words(self, frame: Announcements, source: Connection) -> None:
-        self._overlay.take_words(frame, source)
+    def _take_announcements(self, frame: Announcements, source: Connection) -> None:
+        self._overlay.take_announcements(frame, source)
 
     def _forget_connection(self, connection: Connection) -> None:
         self._overlay.remove_connection(connection)
@@ -245,7 +245,7 @@
         ticks = 0
         while True:
             now = loop.time()
-            was_paused = self._guard.tick(now=now)
+            was_paused = self._pauses.tick(now=now)
             self._acceptor.close_silent(now=now, was_paused=was_paused)
             if was_paused:
                 self.state.record(EventName.PROCESS_PAUSED)
--- a/src/pimentoscale/serving/overlay.py
+++ b/src/pimentoscale/serving/overlay.py
@@ -21,7 +21,7 @@
 from pimentoscale.timeline import EventName
 
 GONE_AFTER_S = 4.0
-MAX_WORDS = 512
+MAX_ANNOUNCEMENTS = 512
 
 MemberWatcher = Callable[[Member], None]
 
@@ -29,7 +29,7 @@
 
 
 class Overlay:
-    """Passes words on members over the tree, and finds members that are gone.
+    """Passes announcements of members over the tree, and finds members that are gone.
 
     A node is watched by its parent and its children in the tree, and by nobody
     else, so the cost of membership does not grow with the zone.
@@ -49,7 +49,7 @@
         peers.up_watchers.append(self._note_up)
         peers.down_watchers.append(self._note_down)
         peers.leaving_watchers.append(self._note_leaving)
-        peers.word_watchers.append(self._take_from_peer)
+        peers.announcement_watchers.append(self._take_from_peer)
 
     @property
     def is_root(self) -> bool:
@@ -75,7 +75,7 @@
         return list(self._links.values())
 
     def announce_own(self, member: Member) -> None:
-        """Spread a changed word on this node itself."""
+        """Spread a changed announcement of this node itself."""
         self._state.own = member
         self._apply(member, None)
         for watch in self.own_watchers:
@@ -102,18 +102,18 @@
         if instance is not None and instance not in self._children.values():
             self._lost_at[instance] = asyncio.get_running_loop().time()
 
-    def take_words(self, frame: Announcements, source: object) -> None:
-        """Take in words on members from a neighbour."""
+    def take_announcements(self, frame: Announcements, source: object) -> None:
+        """Take in announcements of members from a neighbour."""
         for data in frame.members:
             match decode_member(data):
                 case Ok(member):
                     self._apply(member, source)
                 case Err(reason):
-                    self._state.metrics.count("bad_words")
-                    log.warning("word on a member skipped: %s", reason)
+                    self._state.metrics.count("bad_announcements")
+                    log.warning("announcement of a member skipped: %s", reason)
 
     def take_member(self, member: Member) -> None:
-        """Take in a word on a member from the log."""
+        """Take in a announcement of a member from the log."""
         self._apply(member, None)
 
     def plan(self, *, now: float) -> None:
@@ -170,7 +170,7 @@
         self._pass_on(member, source)
 
     def _refute(self, member: Member) -> None:
-        """Overrule a wrong word on this node itself."""
+        """Overrule a wrong announcement of this node itself."""
         own = self._state.own
         sequence = member.sequence + 1
         incarnation = max(own.incarnation, member.incarnation)
@@ -198,12 +198,12 @@
     def _describe_all(self) -> list[Announcements]:
         members = [encode_member(member) for member in self._state.directory]
         return [
-            Announcements(members=members[start : start + MAX_WORDS])
-            for start in range(0, len(members), MAX_WORDS)
+            Announcements(members=members[start : start + MAX_ANNOUNCEMENTS])
+            for start in range(0, len(members), MAX_ANNOUNCEMENTS)
         ]
 
     def _take_from_peer(self, frame: Announcements, peer: Peer) -> None:
-        self.take_words(frame, peer)
+        self.take_announcements(frame, peer)
 
     def _note_up(self, remote: Hello, peer: Peer) -> None:
         self._lost_at.pop(remote.instance, None)
--- a/src/pimentoscale/serving/pause.py
+++ b/src/pimentoscale/serving/pause.py
@@ -11,7 +11,7 @@
 log = get_logger("pause")
 
 
-class PauseGuard:
+class PauseDetector:
     """Compares the present time with that of the last tick.
 
     After a pause calls wait until the process has caught up with its peers or the
--- a/src/pimentoscale/serving/peers.py
+++ b/src/pimentoscale/serving/peers.py
@@ -54,7 +54,7 @@
         self.up_watchers: list[UpWatcher] = []
         self.down_watchers: list[Callable[[Peer], None]] = []
         self.record_watchers: list[Callable[[Records], None]] = []
-        self.word_watchers: list[Callable[[Announcements, Peer], None]] = []
+        self.announcement_watchers: list[Callable[[Announcements, Peer], None]] = []
         self.slow_watchers: list[Callable[[Hello, Slow], None]] = []
         self.leaving_watchers: list[LeavingWatcher] = []
         self.heartbeat_watchers: list[Callable[[Hello, Heartbeat], None]] = []
@@ -160,8 +160,8 @@
             watch(frame)
 
     def on_announcements(self, *, frame: Announcements, peer: Peer) -> None:
-        """Pass words on members on to whoever keeps the directory."""
-        for watch in self.word_watchers:
+        """Pass announcements of members on to whoever keeps the directory."""
+        for watch in self.announcement_watchers:
             watch(frame, peer)
 
     def on_slow(self, *, remote: Hello, frame: Slow) -> None:
--- a/src/pimentoscale/serving/router.py
+++ b/src/pimentoscale/serving/router.py
@@ -32,12 +32,13 @@
 RETRY_PAUSE_S = 0.005
 OWN_OCCUPANCY = 0.5
 LEAST_TARGETS_TO_HEDGE = 2
+HEDGE_OCCUPANCY = 0.5
 
 log = get_logger("router")
 
 
 @dataclass(slots=True, kw_only=True)
-class _Journey:
+class _RoutedCall:
     """One call on its way: what was tried, and the body if it can be sent again."""
 
     context: CallContext
@@ -85,7 +86,7 @@
         peers.slow_watchers.append(self._note_slow)
 
     def note_member(self, member: Member) -> None:
-        """Take over a word on a member."""
+        """Take over a announcement of a member."""
         targets = self._services.setdefault(member.service, Targets())
         if member.state is MemberState.GONE:
             targets.remove(instance=member.instance)
@@ -137,115 +138,119 @@
         that it did not run.
         """
         data = request.body.take_ready() if request.body.is_whole else None
-        journey = _Journey(context=context, kind=kind, request=request, data=data)
+        routed = _RoutedCall(context=context, kind=kind, request=request, data=data)
         while True:
-            answer = await self._attempt(journey)
+            answer = await self._attempt(routed)
             if answer.outcome is Outcome.FAILED:
-                journey.may_have_run = answer.error
+                routed.may_have_run = answer.error
             if answer.outcome is Outcome.ANSWERED or not self._may_retry(
-                journey, answer
+                routed, answer
             ):
-                return self._conclude(journey, answer)
+                return self._conclude(routed, answer)
             self._state.metrics.count("retries", context.kind)
             self._state.record(
                 EventName.RETRY_SENT, request=context.request, kind=context.kind
             )
             await asyncio.sleep(RETRY_PAUSE_S * self._source.random())
 
-    def _conclude(self, journey: _Journey, answer: Answer) -> Answer:
+    def _conclude(self, routed: _RoutedCall, answer: Answer) -> Answer:
         """Return the last answer; a refusal only if no earlier attempt may have run."""
-        earlier = journey.may_have_run
+        earlier = routed.may_have_run
         if answer.outcome is Outcome.REFUSED and earlier is not None:
             return Answer.of_error(earlier)
         return answer
 
-    def _may_retry(self, journey: _Journey, answer: Answer) -> bool:
+    def _may_retry(self, routed: _RoutedCall, answer: Answer) -> bool:
         now = asyncio.get_running_loop().time()
-        if not journey.may_repeat(answer) or journey.context.time_left(now=now) <= 0:
+        if not routed.may_repeat(answer) or routed.context.time_left(now=now) <= 0:
             return False
         if self._state.mode.retry_rule is RetryRule.PER_HOP:
-            return journey.attempts <= PER_HOP_RETRIES
+            return routed.attempts <= PER_HOP_RETRIES
         error = answer.error
         if error is not None and error.kind is ErrorKind.NO_TARGET:
             return False
-        return journey.context.budget.spend()
+        return routed.context.budget.spend()
 
-    async def _attempt(self, journey: _Journey) -> Answer:
-        journey.attempts += 1
+    async def _attempt(self, routed: _RoutedCall) -> Answer:
+        routed.attempts += 1
         now = asyncio.get_running_loop().time()
-        target = self._choose(journey, now)
+        target = self._choose(routed, now)
         if isinstance(target, CallError):
             return Answer.of_error(target)
-        delay_ms = self._get_hedge_delay_ms(journey)
+        delay_ms = self._get_hedge_delay_ms(routed)
         if delay_ms is None:
-            return await self._attempt_at(journey, target)
-        return await self._attempt_hedged(journey, target, delay_ms)
+            return await self._attempt_at(routed, target)
+        return await self._attempt_hedged(routed, target, delay_ms)
 
-    def _get_hedge_delay_ms(self, journey: _Journey) -> float | None:
+    def _get_hedge_delay_ms(self, routed: _RoutedCall) -> float | None:
         """Return when to send a second attempt; None where there must be none.
 
         The retry that a hedge costs is set aside before the first attempt is lent
         the rest.
         """
-        kind = journey.kind
+        kind = routed.kind
         is_short = kind.idempotent and kind.length == "short"
-        may_hedge = is_short and journey.data is not None
+        may_hedge = is_short and routed.data is not None
         if not (may_hedge and self._state.mode.sends_hedges):
             return None
         if len(self._services[kind.service]) < LEAST_TARGETS_TO_HEDGE:
             return None
         self._hedges.note_call(part=self._state.configuration.policy.hedge_part)
-        delay_ms = self._usual.get_late_ms(journey.context.kind)
-        if delay_ms is None or not journey.context.budget.spend():
+        delay_ms = self._usual.get_late_ms(routed.context.kind)
+        if delay_ms is None or not routed.context.budget.spend():
             return None
         return delay_ms
 
     async def _attempt_hedged(
-        self, journey: _Journey, target: Target, delay_ms: float
+        self, routed: _RoutedCall, target: Target, delay_ms: float
     ) -> Answer:
         """Attempt at a target, and at another one too if the answer is late."""
-        context = journey.context
-        first = asyncio.create_task(self._attempt_at(journey, target))
+        context = routed.context
+        first = asyncio.create_task(self._attempt_at(routed, target))
         attempts = {first}
         try:
             done, _ = await asyncio.wait(attempts, timeout=delay_ms / 1000)
             if done:
                 context.budget.refund()
                 return first.result()
-            other = self._choose_hedge(journey, target, delay_ms)
+            other = self._choose_hedge(routed, target, delay_ms)
             if other is None:
                 context.budget.refund()
                 return await first
             self._state.metrics.count("hedges", context.kind)
-            attempts.add(asyncio.create_task(self._attempt_at(journey, other)))
+            attempts.add(asyncio.create_task(self._attempt_at(routed, other)))
             return await _wait_best(attempts)
         finally:
             for attempt in attempts:
                 attempt.cancel()
 
     def _choose_hedge(
-        self, journey: _Journey, late: Target, delay_ms: float
+        self, routed: _RoutedCall, late: Target, delay_ms: float
     ) -> Target | None:
         """Return another target for a late call, if one more may be sent."""
         now = asyncio.get_running_loop().time()
-        late.note_late(kind=journey.context.kind, late_ms=delay_ms, now=now)
-        other = self._choose(journey, now)
-        if isinstance(other, CallError) or other.instance in journey.tried:
+        late.note_late(kind=routed.context.kind, late_ms=delay_ms, now=now)
+        other = self._choose(routed, now)
+        if isinstance(other, CallError) or other.instance in routed.tried:
+            return None
+        # Where the other target is busy too, a late call is no straggler's, and a
+        # hedge would only take a slot from another call.
+        if other.get_occupancy(now=now) > HEDGE_OCCUPANCY:
             return None
         return other if self._hedges.spend() else None
 
-    async def _attempt_at(self, journey: _Journey, target: Target) -> Answer:
-        journey.tried.add(target.instance)
+    async def _attempt_at(self, routed: _RoutedCall, target: Target) -> Answer:
+        routed.tried.add(target.instance)
         target.out += 1
         try:
             if target.instance == self._state.holder.instance:
-                return await self._attempt_here(journey, target)
-            return await self._attempt_there(journey, target)
+                return await self._attempt_here(routed, target)
+            return await self._attempt_there(routed, target)
         finally:
             target.out -= 1
 
-    def _choose(self, journey: _Journey, now: float) -> Target | CallError:
-        targets = self._services.get(journey.kind.service)
+    def _choose(self, routed: _RoutedCall, now: float) -> Target | CallError:
+        targets = self._services.get(routed.kind.service)
         usable = targets.list_usable() if targets else []
         if targets is None or not usable:
             return CallError(kind=ErrorKind.NO_TARGET)
@@ -253,26 +258,26 @@
             pool = usable
         else:
             pool = targets.list_candidates(
-                importance=journey.kind.importance,
-                tried=journey.tried,
+                importance=routed.kind.importance,
+                tried=routed.tried,
                 now=now,
             )
         if not pool:
             return _refuse_early(usable)
         policy = self._state.configuration.policy
         request = ChoiceRequest(
-            kind=journey.context.kind,
+            kind=routed.context.kind,
             zone=self._state.zone,
             out_of_zone_ms=policy.out_of_zone_ms,
         )
         own = self._find_own(pool)
-        if own is not None and self._should_stay(own, journey, now):
+        if own is not None and self._should_stay(own, routed, now):
             return own
         return self._choice.choose(pool, request, now=now)
 
-    def _should_stay(self, own: Target, journey: _Journey, now: float) -> bool:
+    def _should_stay(self, own: Target, routed: _RoutedCall, now: float) -> bool:
         """Tell whether the own upstream has room and is as quick as usual."""
-        kind = journey.context.kind
+        kind = routed.context.kind
         usual_ms = self._usual.get_late_ms(kind)
         is_quick = usual_ms is None or own.get_latency_ms(kind, now=now) < usual_ms
         return is_quick and own.get_occupancy(now=now) <= OWN_OCCUPANCY
@@ -284,20 +289,20 @@
         own = self._state.holder.instance
         return next((item for item in pool if item.instance == own), None)
 
-    async def _attempt_here(self, journey: _Journey, target: Target) -> Answer:
+    async def _attempt_here(self, routed: _RoutedCall, target: Target) -> Answer:
         loop = asyncio.get_running_loop()
         started = loop.time()
         answer = await self._runner.run(
-            journey.context, journey.kind, journey.make_request()
+            routed.context, routed.kind, routed.make_request()
         )
         load = self._runner.report_load(now=loop.time())
-        self._learn(journey, target, answer, load, started)
+        self._learn(routed, target, answer, load, started)
         return answer
 
-    async def _attempt_there(self, journey: _Journey, target: Target) -> Answer:
-        context = journey.context
+    async def _attempt_there(self, routed: _RoutedCall, target: Target) -> Answer:
+        context = routed.context
         member = self._state.directory.find(instance=target.instance)
-        lane = Lane.LONG if journey.kind.length == "long" else Lane.SHORT
+        lane = Lane.LONG if routed.kind.length == "long" else Lane.SHORT
         loop = asyncio.get_running_loop()
         started = loop.time()
         lent = context.budget.lend_all()
@@ -307,29 +312,29 @@
             peer = self._peers.open(member, lane)
             if not peer.is_up:
                 peer = await self._peers.wait_up(member, lane)
-            answer, load = await self._send(journey, peer, lent)
+            answer, load = await self._send(routed, peer, lent)
         except PeerUnreachableError as error:
             context.budget.take_back(lent=lent, spent=0)
             target.refused_until = loop.time() + UNREACHABLE_PAUSE_S
             kind = ErrorKind.PEER_UNREACHABLE
             return Answer.of_error(CallError(kind=kind, detail=str(error)))
         except PeerLostError as error:
-            return self._lose(journey, ErrorKind.PEER_LOST, str(error))
+            return self._lose(routed, ErrorKind.PEER_LOST, str(error))
         except TimeoutError:
-            return self._lose(journey, ErrorKind.DEADLINE_WHILE_RUNNING, "")
+            return self._lose(routed, ErrorKind.DEADLINE_WHILE_RUNNING, "")
         except BodyBrokenError as error:
-            return self._lose(journey, ErrorKind.BODY_TRUNCATED, str(error))
+            return self._lose(routed, ErrorKind.BODY_TRUNCATED, str(error))
         except ValueError as error:
-            return self._lose(journey, ErrorKind.ANSWER_DAMAGED, str(error))
+            return self._lose(routed, ErrorKind.ANSWER_DAMAGED, str(error))
         context.budget.take_back(lent=lent, spent=answer.retries_spent)
-        self._learn(journey, target, answer, load, started)
+        self._learn(routed, target, answer, load, started)
         return answer
 
     async def _send(
-        self, journey: _Journey, peer: Peer, lent: int
+        self, routed: _RoutedCall, peer: Peer, lent: int
     ) -> tuple[Answer, Load]:
-        context = journey.context
-        request = journey.make_request()
+        context = routed.context
+        request = routed.make_request()
         loop = asyncio.get_running_loop()
         frame = make_call(
             context=context,
@@ -350,16 +355,16 @@
         )
         return read_reply(reply, body), load
 
-    def _lose(self, journey: _Journey, kind: ErrorKind, detail: str) -> Answer:
+    def _lose(self, routed: _RoutedCall, kind: ErrorKind, detail: str) -> Answer:
         """Return the answer for a call that may have run; what was lent is spent."""
         answer = Answer.of_error(CallError(kind=kind, detail=detail))
-        if not journey.kind.idempotent:
+        if not routed.kind.idempotent:
             answer.outcome = Outcome.UNKNOWN
         return answer
 
     def _learn(
         self,
-        journey: _Journey,
+        routed: _RoutedCall,
         target: Target,
         answer: Answer,
         load: Load,
@@ -370,11 +375,11 @@
             target.note_refusal(load=load, now=now)
             return
         latency_ms = (now - started) * 1000
-        kind = journey.context.kind
+        kind = routed.context.kind
         if answer.outcome is Outcome.ANSWERED:
             self._usual.note_answer(kind=kind, latency_ms=latency_ms)
         target.note_answer(kind=kind, latency_ms=latency_ms, load=load, now=now)
-        targets = self._services[journey.kind.service]
+        targets = self._services[routed.kind.service]
         policy = self._state.configuration.policy
         if targets.judge(target, kind=kind, policy=policy, now=now):
             self._state.record(
--- a/src/pimentoscale/serving/runner.py
+++ b/src/pimentoscale/serving/runner.py
@@ -1,4 +1,4 @@
-"""Runs calls on the node's own upstream, behind the admission gate."""
+"""Runs calls on the node's own upstream, behind its admission control."""
 
 import asyncio
 from collections.abc import Callable, Sequence
@@ -46,7 +46,7 @@
 
 
 class _Slot:
-    """One call's place at the gate."""
+    """One call's place in admission control."""
 
     __slots__ = ("entry", "granted", "is_held")
 
@@ -69,7 +69,7 @@
         law = make_limit_law(
             name=state.mode.limit_law, slots=upstream.slots, least=policy.min_limit
         )
-        self._gate = Admission(law=law, policy=policy, long_share=0.5, now=now)
+        self._admission = Admission(law=law, policy=policy, long_share=0.5, now=now)
         self._usual = UsualTimes()
         self._told_at: dict[str, float] = {}
         self.on_late: Callable[[str, float], None] | None = None
@@ -82,26 +82,26 @@
         service = configuration.services.get(self._state.settings.upstream.service)
         if service is not None:
             policy = configuration.policy
-            self._gate.configure(policy=policy, long_share=service.long_share)
+            self._admission.configure(policy=policy, long_share=service.long_share)
 
     @property
     def queued(self) -> int:
         """Return the calls that wait for a slot."""
-        return self._gate.queued
+        return self._admission.queued
 
     @property
     def running(self) -> int:
         """Return the calls that hold a slot."""
-        return self._gate.running
+        return self._admission.running
 
     def tick(self, *, now: float) -> None:
         """Start waiting calls for which a rising limit has made room."""
-        if self._gate.queued:
-            self._let_start(self._gate.start_waiting(now=now))
+        if self._admission.queued:
+            self._let_start(self._admission.start_waiting(now=now))
 
     def report_load(self, *, now: float) -> Load:
         """Return the load for an answer."""
-        return self._gate.report(now=now)
+        return self._admission.report(now=now)
 
     async def run(
         self, context: CallContext, kind: Kind, request: CallRequest
@@ -141,7 +141,7 @@
         """Wait for a slot; return the error if there is none."""
         loop = asyncio.get_running_loop()
         now = loop.time()
-        decision = self._gate.offer(slot.entry, now=now)
+        decision = self._admission.offer(slot.entry, now=now)
         for refusal in decision.displaced:
             self._grant(refusal.entry, refusal.error)
         if decision.verdict is Verdict.REFUSE:
@@ -158,7 +158,7 @@
         try:
             error = await slot.granted
         except asyncio.CancelledError:
-            self._gate.withdraw(slot.entry)
+            self._admission.withdraw(slot.entry)
             raise
         finally:
             timer.cancel()
@@ -169,7 +169,7 @@
         return error
 
     def _expire(self, slot: _Slot) -> None:
-        if self._gate.withdraw(slot.entry):
+        if self._admission.withdraw(slot.entry):
             self._grant(slot.entry, CallError(kind=ErrorKind.DEADLINE_BEFORE_RUN))
 
     def _grant(self, entry: Entry, error: CallError | None) -> None:
@@ -184,7 +184,7 @@
             return
         slot.is_held = False
         now = asyncio.get_running_loop().time()
-        freed = self._gate.release(slot.entry, is_overload=is_overload, now=now)
+        freed = self._admission.release(slot.entry, is_overload=is_overload, now=now)
         self._let_start(freed)
 
     def _let_start(self, freed: Freed) -> None:
--- a/src/pimentoscale/serving/submission.py
+++ b/src/pimentoscale/serving/submission.py
@@ -36,7 +36,7 @@
     HomeLedger,
     Ruling,
     Ticket,
-    TicketMint,
+    TicketIssuer,
 )
 from pimentoscale.ticket.home import KeptAnswer, keep_answer
 from pimentoscale.timeline import EventName
@@ -74,12 +74,12 @@
         peers: PeerBook,
         router: Router,
         witnesses: Witnesses,
-        mint: TicketMint,
+        issuer: TicketIssuer,
     ) -> None:
         self._state = state
         self._peers = peers
         self._router = router
-        self._mint = mint
+        self._issuer = issuer
         self._home = HomeLedger()
         self._witnesses = witnesses
         self._runs: set[asyncio.Future[Any]] = set()
@@ -89,7 +89,7 @@
         witness = self._witnesses.choose()
         if witness is None:
             return ""
-        ticket = self._mint.issue(
+        ticket = self._issuer.issue(
             request=request,
             caller=caller,
             kind=kind,
@@ -97,7 +97,7 @@
             witness=witness,
             now_ms=get_wall_ms(),
         )
-        return self._mint.write(ticket)
+        return self._issuer.write(ticket)
 
     async def submit(
         self, text: str, context: CallContext, kind: Kind, request: CallRequest
@@ -142,7 +142,7 @@
     def _read(
         self, text: str, context: CallContext, kind: Kind, request: CallRequest
     ) -> Submission | CallError:
-        match self._mint.read(text):
+        match self._issuer.read(text):
             case Err(error):
                 return error
             case Ok(ticket):
--- a/src/pimentoscale/serving/witnesses.py
+++ b/src/pimentoscale/serving/witnesses.py
@@ -20,7 +20,7 @@
     Holder,
     Ruling,
     Ticket,
-    TicketMint,
+    TicketIssuer,
     WitnessLedger,
     WitnessVerdict,
 )
@@ -40,12 +40,12 @@
         *,
         state: NodeState,
         peers: PeerBook,
-        mint: TicketMint,
+        issuer: TicketIssuer,
         source: random.Random,
     ) -> None:
         self._state = state
         self._peers = peers
-        self._mint = mint
+        self._issuer = issuer
         self._source = source
         self._ledger = WitnessLedger(holder=state.holder)
         self._candidates: list[Member] = []
@@ -53,7 +53,7 @@
 
     def rule_on_intent(self, text: str) -> WitnessVerdict:
         """Answer a home that asks this node as its witness."""
-        match self._mint.read(text):
+        match self._issuer.read(text):
             case Ok(ticket):
                 return self._ledger.record_intent(ticket, now_ms=get_wall_ms())
             case Err(_):
@@ -61,7 +61,7 @@
 
     def rule_on_ticket(self, text: str, replacement: str) -> WitnessVerdict:
         """Answer a node that can't reach a ticket's home."""
-        match self._mint.read(text):
+        match self._issuer.read(text):
             case Ok(ticket):
                 return self.rule(ticket, replacement)
             case Err(_):
--- a/src/pimentoscale/stream/frames.py
+++ b/src/pimentoscale/stream/frames.py
@@ -193,7 +193,7 @@
 @register_frame(11)
 @dataclass(slots=True, kw_only=True)
 class Verdict(Frame):
-    """The witness's word on a ticket."""
+    """The witness's verdict on a ticket."""
 
     query: int
     verdict: str
@@ -227,6 +227,6 @@
 @register_frame(14)
 @dataclass(slots=True, kw_only=True)
 class Announcements(Frame):
-    """Words on members, passed on over the zone's tree and between its roots."""
+    """Announcements of members, passed on over the tree and between roots."""
 
     members: list[bytes]
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -64,7 +64,7 @@
         """Take in configuration records."""
 
     def on_announcements(self, *, frame: Announcements, peer: "Peer") -> None:
-        """Take in words on members."""
+        """Take in announcements of members."""
 
     def on_slow(self, *, remote: Hello, frame: Slow) -> None:
         """Take note that the other side's upstream answers late."""
--- a/src/pimentoscale/ticket/__init__.py
+++ b/src/pimentoscale/ticket/__init__.py
@@ -1,7 +1,7 @@
 """Tickets, homes and witnesses: non-idempotent work runs at most once."""
 
 from pimentoscale.ticket.home import HomeEntry, HomeLedger
-from pimentoscale.ticket.mint import Holder, Ticket, TicketMint
+from pimentoscale.ticket.issuer import Holder, Ticket, TicketIssuer
 from pimentoscale.ticket.witness import Ruling, WitnessLedger, WitnessVerdict
 
 __all__ = [
@@ -10,7 +10,7 @@
     "HomeLedger",
     "Ruling",
     "Ticket",
-    "TicketMint",
+    "TicketIssuer",
     "WitnessLedger",
     "WitnessVerdict",
 ]
--- a/src/pimentoscale/ticket/mint.py
+++ b/src/pimentoscale/ticket/issuer.py
@@ -45,7 +45,7 @@
         return now_ms >= self.expires_ms
 
 
-class TicketMint:
+class TicketIssuer:
     """Makes tickets that only holders of the secret can make."""
 
     __slots__ = ("_key",)
--- a/src/pimentoscale/ticket/witness.py
+++ b/src/pimentoscale/ticket/witness.py
@@ -4,11 +4,11 @@
 from enum import Enum
 
 from pimentoscale.ticket.home import KEPT_MARGIN_MS
-from pimentoscale.ticket.mint import Holder, Ticket
+from pimentoscale.ticket.issuer import Holder, Ticket
 
 
 class Ruling(Enum):
-    """The witness's word on a ticket.
+    """The witness's verdict on a ticket.
 
     `GRANTED`: the intent is on record, the home may run.
     `INTENT`: the home may have run; nobody else may.
--- a/src/pimentoscale_bench/relay.py
+++ b/src/pimentoscale_bench/relay.py
@@ -66,11 +66,11 @@
 
 
 async def _pump(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, gate: asyncio.Event
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, admission: asyncio.Event
 ) -> None:
     with contextlib.suppress(OSError):
         while data := await reader.read(READ_BYTES):
-            await gate.wait()
+            await admission.wait()
             writer.write(data)
             await writer.drain()
 
--- a/src/pimentoscale_bench/slopes.py
+++ b/src/pimentoscale_bench/slopes.py
@@ -32,7 +32,7 @@
 from pimentoscale.settings import Address
 from pimentoscale.stream import Heartbeat
 from pimentoscale.stream.codec import FrameReader, encode_frame
-from pimentoscale.ticket import Holder, TicketMint, WitnessLedger
+from pimentoscale.ticket import Holder, TicketIssuer, WitnessLedger
 from pimentoscale_bench.deployment import read_deployment
 from pimentoscale_bench.experiments import (
     ExperimentRequest,
@@ -177,12 +177,12 @@
 
 def _time_ticket() -> float:
     """Return the time to issue, read and record one ticket."""
-    mint = TicketMint(secret="a secret for the slopes")
+    issuer = TicketIssuer(secret="a secret for the slopes")
     holder = Holder(instance="i", incarnation=1)
     ledger = WitnessLedger(holder=holder)
 
     def step() -> None:
-        ticket = mint.read(mint.write(_issue(mint, holder))).unwrap()
+        ticket = issuer.read(issuer.write(_issue(issuer, holder))).unwrap()
         ledger.record_intent(ticket, now_ms=0)
 
     return _time(step, 500)
@@ -215,16 +215,16 @@
 
 def build_witness(count: int) -> WitnessLedger:
     """Return a witness with so many intents on record."""
-    mint = TicketMint(secret="a secret for the slopes")
+    issuer = TicketIssuer(secret="a secret for the slopes")
     holder = Holder(instance="i", incarnation=1)
     ledger = WitnessLedger(holder=holder)
     for _ in range(count):
-        ledger.record_intent(_issue(mint, holder), now_ms=0)
+        ledger.record_intent(_issue(issuer, holder), now_ms=0)
     return ledger
 
 
-def _issue(mint: TicketMint, holder: Holder) -> Any:
-    return mint.issue(
+def _issue(issuer: TicketIssuer, holder: Holder) -> Any:
+    return issuer.issue(
         request="r", caller="c", kind="k", home=holder, witness=holder, now_ms=0
     )
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,7 @@
 
 from pimentoscale.call import CallContext, RetryBudget
 from pimentoscale.configuration import Configuration, Kind, Service, Zone
-from pimentoscale.ticket import Holder, Ticket, TicketMint
+from pimentoscale.ticket import Holder, Ticket, TicketIssuer
 
 ROOT = Path(__file__).parents[1]
 SECRET = "a secret for tests only"
@@ -41,8 +41,8 @@
 
 
 @pytest.fixture
-def mint() -> TicketMint:
-    return TicketMint(secret=SECRET)
+def issuer() -> TicketIssuer:
+    return TicketIssuer(secret=SECRET)
 
 
 @pytest.fixture
@@ -56,8 +56,8 @@
 
 
 @pytest.fixture
-def ticket(mint: TicketMint, home: Holder, witness: Holder) -> Ticket:
-    return mint.issue(
+def ticket(issuer: TicketIssuer, home: Holder, witness: Holder) -> Ticket:
+    return issuer.issue(
         request="r-1",
         caller="director",
         kind="booking.create",
--- a/tests/test_gate.py
+++ b/tests/test_admission.py
@@ -13,7 +13,7 @@
 SLOTS = 4
 
 
-def make_gate(slots: int = SLOTS, queue_factor: float = 1.0) -> Admission:
+def make_admission(slots: int = SLOTS, queue_factor: float = 1.0) -> Admission:
     policy = Policy(queue_factor=queue_factor, ramp_s=0)
     law = make_limit_law(name="fixed", slots=slots, least=1)
     return Admission(law=law, policy=policy, long_share=0.5, now=0.0)
@@ -39,121 +39,125 @@
 
 
 @pytest.fixture
-def full_gate() -> Admission:
-    gate = make_gate()
+def full_admission() -> Admission:
+    admission = make_admission()
     for _ in range(SLOTS):
-        gate.offer(make_entry(), now=0.0)
-    return gate
+        admission.offer(make_entry(), now=0.0)
+    return admission
 
 
-def test_runs_up_to_the_limit_then_waits(full_gate: Admission) -> None:
-    assert full_gate.running == SLOTS
-    assert full_gate.offer(make_entry(), now=0.0).verdict is Verdict.WAIT
+def test_runs_up_to_the_limit_then_waits(full_admission: Admission) -> None:
+    assert full_admission.running == SLOTS
+    assert full_admission.offer(make_entry(), now=0.0).verdict is Verdict.WAIT
 
 
 def test_more_important_arrival_displaces_the_least_important(
-    full_gate: Admission,
+    full_admission: Admission,
 ) -> None:
     waiting = [make_entry(importance=20 + n) for n in range(SLOTS)]
     for entry in waiting:
-        full_gate.offer(entry, now=0.0)
-    decision = full_gate.offer(make_entry(importance=90), now=0.0)
+        full_admission.offer(entry, now=0.0)
+    decision = full_admission.offer(make_entry(importance=90), now=0.0)
     assert decision.verdict is Verdict.WAIT
     assert [refusal.entry for refusal in decision.displaced] == [waiting[0]]
     assert decision.displaced[0].error.kind is ErrorKind.DISPLACED
 
 
 def test_important_short_call_displaces_a_waiting_long_one(
-    full_gate: Admission,
+    full_admission: Admission,
 ) -> None:
     photo = make_entry(importance=10, length=Length.LONG)
-    full_gate.offer(photo, now=0.0)
+    full_admission.offer(photo, now=0.0)
     for _ in range(SLOTS - 1):
-        full_gate.offer(make_entry(importance=90), now=0.0)
-    decision = full_gate.offer(make_entry(importance=90), now=0.0)
+        full_admission.offer(make_entry(importance=90), now=0.0)
+    decision = full_admission.offer(make_entry(importance=90), now=0.0)
     assert [refusal.entry for refusal in decision.displaced] == [photo]
 
 
 def test_after_a_refusal_nothing_less_important_is_let_in(
-    full_gate: Admission,
+    full_admission: Admission,
 ) -> None:
     for _ in range(SLOTS):
-        full_gate.offer(make_entry(importance=90), now=0.0)
-    assert full_gate.offer(make_entry(importance=90), now=0.0).verdict is Verdict.REFUSE
+        full_admission.offer(make_entry(importance=90), now=0.0)
+    assert (
+        full_admission.offer(make_entry(importance=90), now=0.0).verdict
+        is Verdict.REFUSE
+    )
     low = make_entry(importance=10, length=Length.LONG)
-    assert full_gate.offer(low, now=0.05).verdict is Verdict.REFUSE
+    assert full_admission.offer(low, now=0.05).verdict is Verdict.REFUSE
 
 
-def test_deeper_call_starts_first_among_equals(full_gate: Admission) -> None:
+def test_deeper_call_starts_first_among_equals(full_admission: Admission) -> None:
     shallow, deep = make_entry(), make_entry(depth=3)
-    full_gate.offer(shallow, now=0.0)
-    full_gate.offer(deep, now=0.0)
+    full_admission.offer(shallow, now=0.0)
+    full_admission.offer(deep, now=0.0)
     running = make_entry()
-    freed = full_gate.release(running, is_overload=False, now=1.0)
+    freed = full_admission.release(running, is_overload=False, now=1.0)
     assert freed.started == [deep]
 
 
-def test_runaway_caller_stands_behind_the_others(full_gate: Admission) -> None:
+def test_runaway_caller_stands_behind_the_others(full_admission: Admission) -> None:
     for _ in range(3):
-        full_gate.offer(make_entry(caller="runaway"), now=0.0)
+        full_admission.offer(make_entry(caller="runaway"), now=0.0)
     other = make_entry(caller="b")
-    full_gate.offer(other, now=0.0)
-    first = full_gate.release(make_entry(), is_overload=False, now=1.0)
-    second = full_gate.release(make_entry(), is_overload=False, now=1.0)
+    full_admission.offer(other, now=0.0)
+    first = full_admission.release(make_entry(), is_overload=False, now=1.0)
+    second = full_admission.release(make_entry(), is_overload=False, now=1.0)
     assert other in first.started + second.started
 
 
-def test_call_that_cannot_finish_in_time_is_not_run(full_gate: Admission) -> None:
-    full_gate.release(make_entry(), is_overload=False, now=5.0)
-    full_gate.offer(make_entry(), now=5.0)
-    decision = full_gate.offer(make_entry(deadline=5.1), now=5.0)
+def test_call_that_cannot_finish_in_time_is_not_run(full_admission: Admission) -> None:
+    full_admission.release(make_entry(), is_overload=False, now=5.0)
+    full_admission.offer(make_entry(), now=5.0)
+    decision = full_admission.offer(make_entry(deadline=5.1), now=5.0)
     assert decision.verdict is Verdict.REFUSE
 
 
 def test_long_calls_leave_room_for_the_recent_peak_of_short_ones() -> None:
-    gate = make_gate(slots=8)
+    admission = make_admission(slots=8)
     shorts = [make_entry() for _ in range(3)]
     for entry in shorts:
-        gate.offer(entry, now=0.0)
+        admission.offer(entry, now=0.0)
     for entry in shorts:
-        gate.release(entry, is_overload=False, now=0.01)
+        admission.release(entry, is_overload=False, now=0.01)
     verdicts = [
-        gate.offer(make_entry(length=Length.LONG), now=0.02).verdict for _ in range(8)
+        admission.offer(make_entry(length=Length.LONG), now=0.02).verdict
+        for _ in range(8)
     ]
     assert verdicts.count(Verdict.START) == 4
-    assert gate.offer(make_entry(), now=0.03).verdict is Verdict.START
+    assert admission.offer(make_entry(), now=0.03).verdict is Verdict.START
 
 
 def test_short_calls_borrow_what_long_ones_leave_idle() -> None:
-    gate = make_gate(slots=8)
-    verdicts = [gate.offer(make_entry(), now=0.0).verdict for _ in range(8)]
+    admission = make_admission(slots=8)
+    verdicts = [admission.offer(make_entry(), now=0.0).verdict for _ in range(8)]
     assert verdicts == [Verdict.START] * 8
 
 
 def test_cold_start_ramps() -> None:
     law = make_limit_law(name="fixed", slots=40, least=2)
-    gate = Admission(law=law, policy=Policy(ramp_s=10), long_share=0.5, now=0.0)
-    limits = [gate.get_limit(now=at) for at in (0.0, 5.0, 10.0)]
+    admission = Admission(law=law, policy=Policy(ramp_s=10), long_share=0.5, now=0.0)
+    limits = [admission.get_limit(now=at) for at in (0.0, 5.0, 10.0)]
     assert limits == [10, 25, 40]
 
 
 @given(seed=st.integers(0, 2**32))
 def test_no_refusal_while_something_less_important_waits(seed: int) -> None:
     source = random.Random(seed)
-    gate = make_gate(slots=3)
+    admission = make_admission(slots=3)
     waiting: list[Entry] = []
     running: list[Entry] = []
     for step in range(80):
         now = step / 1000
         if running and source.random() < 0.3:
             ended = running.pop(source.randrange(len(running)))
-            freed = gate.release(ended, is_overload=False, now=now)
+            freed = admission.release(ended, is_overload=False, now=now)
             running += freed.started
             waiting = [entry for entry in waiting if entry not in freed.started]
             continue
         length = source.choice(list(Length))
         entry = make_entry(importance=source.randrange(4) * 25, length=length)
-        decision = gate.offer(entry, now=now)
+        decision = admission.offer(entry, now=now)
         gone = [refusal.entry for refusal in decision.displaced]
         # Fairness between callers may displace an equally important call.
         assert all(item.importance <= entry.importance for item in gone)
@@ -164,4 +168,4 @@
             waiting.append(entry)
         else:
             assert all(item.importance >= entry.importance for item in waiting)
-        assert gate.running <= 3
+        assert admission.running <= 3
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from pimentoscale.ticket import Holder, Ticket, TicketMint
+from pimentoscale.ticket import Holder, Ticket, TicketIssuer
 from pimentoscale_bench.deployment import TICKET_SECRET
 from tests.fleet import Bench, start_bench
 
@@ -22,7 +22,7 @@
 
 
 def read_ticket(text: str) -> Ticket:
-    return TicketMint(secret=TICKET_SECRET).read(text).unwrap()
+    return TicketIssuer(secret=TICKET_SECRET).read(text).unwrap()
 
 
 def test_one_ticket_at_all_entries_at_once_runs_once(bench: Bench) -> None:
@@ -54,7 +54,7 @@
     async def check() -> None:
         request = bench.make_request()
         ticket = read_ticket(await bench.get_ticket(HOME, KIND, request))
-        forged = TicketMint(secret="not the secret of this zone").write(ticket)
+        forged = TicketIssuer(secret="not the secret of this zone").write(ticket)
         attempt = await bench.send(HOME, KIND, request, forged)
         assert attempt.error == "ticket_invalid"
         assert bench.count_runs(request) == 0
@@ -66,8 +66,8 @@
     async def check() -> None:
         request = bench.make_request()
         found = read_ticket(await bench.get_ticket(HOME, KIND, request))
-        mint = TicketMint(secret=TICKET_SECRET)
-        old = mint.issue(
+        issuer = TicketIssuer(secret=TICKET_SECRET)
+        old = issuer.issue(
             request=request,
             caller=found.caller,
             kind=KIND,
@@ -76,7 +76,7 @@
             now_ms=0,
         )
         for name in (HOME, FAR):
-            attempt = await bench.send(name, KIND, request, mint.write(old))
+            attempt = await bench.send(name, KIND, request, issuer.write(old))
             assert (attempt.error, attempt.outcome) == ("ticket_expired", "unknown")
         assert bench.count_runs(request) == 0
 
@@ -87,10 +87,10 @@
     async def check() -> None:
         request = bench.make_request()
         found = read_ticket(await bench.get_ticket(HOME, KIND, request))
-        mint = TicketMint(secret=TICKET_SECRET)
+        issuer = TicketIssuer(secret=TICKET_SECRET)
         earlier = Holder(instance=HOME, incarnation=found.home.incarnation - 1)
-        ticket = mint.write(
-            mint.issue(
+        ticket = issuer.write(
+            issuer.issue(
                 request=request,
                 caller=found.caller,
                 kind=KIND,
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -13,7 +13,7 @@
     HomeLedger,
     Ruling,
     Ticket,
-    TicketMint,
+    TicketIssuer,
     WitnessLedger,
 )
 from pimentoscale.ticket.home import KEPT_MARGIN_MS, MAX_KEPT_BODY_BYTES, keep_answer
@@ -21,27 +21,31 @@
 NOW_MS = 2_000
 
 
-def test_ticket_survives_writing_and_reading(mint: TicketMint, ticket: Ticket) -> None:
-    assert mint.read(mint.write(ticket)) == Ok(ticket)
+def test_ticket_survives_writing_and_reading(
+    issuer: TicketIssuer, ticket: Ticket
+) -> None:
+    assert issuer.read(issuer.write(ticket)) == Ok(ticket)
 
 
 @pytest.mark.parametrize("position", [0, 5, 20, 40])
 def test_altered_ticket_is_refused(
-    mint: TicketMint, ticket: Ticket, position: int
+    issuer: TicketIssuer, ticket: Ticket, position: int
 ) -> None:
-    raw = bytearray(base64.urlsafe_b64decode(mint.write(ticket)))
+    raw = bytearray(base64.urlsafe_b64decode(issuer.write(ticket)))
     raw[position] ^= 1
-    assert isinstance(mint.read(base64.urlsafe_b64encode(raw).decode()), Err)
+    assert isinstance(issuer.read(base64.urlsafe_b64encode(raw).decode()), Err)
 
 
 @pytest.mark.parametrize("text", ["", "x", "%%%", "AAAA", "\u00e9"])
-def test_garbage_is_refused(mint: TicketMint, text: str) -> None:
-    assert isinstance(mint.read(text), Err)
+def test_garbage_is_refused(issuer: TicketIssuer, text: str) -> None:
+    assert isinstance(issuer.read(text), Err)
 
 
-def test_ticket_of_another_secret_is_refused(mint: TicketMint, ticket: Ticket) -> None:
-    forged = TicketMint(secret="another secret of ours").write(ticket)
-    assert isinstance(mint.read(forged), Err)
+def test_ticket_of_another_secret_is_refused(
+    issuer: TicketIssuer, ticket: Ticket
+) -> None:
+    forged = TicketIssuer(secret="another secret of ours").write(ticket)
+    assert isinstance(issuer.read(forged), Err)
 
 
 def test_intent_bars_the_veto(ticket: Ticket, witness: Holder) -> None:
