--- a/src/pimentoscale/policy.py
+++ b/src/pimentoscale/policy.py
@@ -1,7 +1,7 @@
 """Policies: which law, choice and retry rule a node follows."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 
@@ -85,23 +85,10 @@
 @register_policy
 def describe_gradient() -> PolicyMode:
     """Describe the production policy with the other limit law."""
-    return PolicyMode(
-        name="gradient",
-        limit_law="gradient",
-        target_choice="two_choices",
-        retry_rule=RetryRule.BUDGET,
-        in_order_of_arrival=False,
-        sends_hedges=True,
-    )
+    return replace(describe_adaptive(), name="gradient", limit_law="gradient")
 
 
 @register_policy
 def describe_unhedged() -> PolicyMode:
     """Describe the production policy without hedges."""
-    return PolicyMode(
-        name="unhedged",
-        limit_law="aimd",
-        target_choice="two_choices",
-        retry_rule=RetryRule.BUDGET,
-        in_order_of_arrival=False,
-    )
+    return replace(describe_adaptive(), name="unhedged", sends_hedges=False)
--- a/src/pimentoscale/serving/node.py
+++ b/src/pimentoscale/serving/node.py
@@ -32,6 +32,7 @@
 from pimentoscale.serving.peers import PeerBook
 from pimentoscale.serving.router import Router
 from pimentoscale.serving.runner import UpstreamRunner
+from pimentoscale.serving.selection import TargetSelector
 from pimentoscale.serving.state import NodeState, get_wall_ms, make_own_member
 from pimentoscale.serving.submission import Submissions
 from pimentoscale.serving.witnesses import Witnesses
@@ -73,8 +74,15 @@
         self._pauses = PauseDetector(now=now)
         self._peers = PeerBook(state=self.state, feed=self.state.feed)
         self._runner = UpstreamRunner(state=self.state, now=now)
+        self._selector = TargetSelector(
+            state=self.state, peers=self._peers, source=source
+        )
         self._router = Router(
-            state=self.state, peers=self._peers, runner=self._runner, source=source
+            state=self.state,
+            peers=self._peers,
+            runner=self._runner,
+            selector=self._selector,
+            source=source,
         )
         issuer = TicketIssuer(secret=settings.ticket_secret)
         self._witnesses = Witnesses(
@@ -195,7 +203,8 @@
             refusals=state.metrics.get_counts("refusals"),
             members=[_describe_member(member) for member in state.directory],
             targets=[
-                _describe_target(target, now) for target in self._router.list_targets()
+                _describe_target(target, now)
+                for target in self._selector.list_targets()
             ],
         )
 
@@ -224,12 +233,12 @@
         self._runner.on_late = self._note_late
         self._acceptor.on_announcements = self._take_announcements
         self._acceptor.on_closed = self._forget_connection
-        self._overlay.watchers.append(self._router.note_member)
+        self._overlay.watchers.append(self._selector.note_member)
         self._distribution.configuration_watchers.append(self._runner.configure)
 
     def _note_late(self, kind: str, late_ms: float) -> None:
-        """Tell the own router and all connected nodes of a late upstream."""
-        self._router.note_slow(self.state.holder.instance, kind, late_ms)
+        """Tell the own selector and all connected nodes of a late upstream."""
+        self._selector.note_slow(self.state.holder.instance, kind, late_ms)
         self._acceptor.announce_slow(kind, late_ms)
 
     def _take_announcements(self, frame: Announcements, source: Connection) -> None:
--- a/src/pimentoscale/serving/router.py
+++ b/src/pimentoscale/serving/router.py
@@ -9,28 +9,20 @@
 from pimentoscale.configuration import Kind
 from pimentoscale.errors import CallError, ErrorKind
 from pimentoscale.logs import get_logger
-from pimentoscale.membership import Member, MemberState
 from pimentoscale.outcome import Outcome
 from pimentoscale.policy import PER_HOP_RETRIES, RetryRule
-from pimentoscale.routing import (
-    ChoiceRequest,
-    HedgeBudget,
-    Target,
-    Targets,
-    UsualTimes,
-    make_choice,
-)
+from pimentoscale.routing import HedgeBudget, Target
 from pimentoscale.serving.frames import make_call, read_reply
 from pimentoscale.serving.peers import Lane, PeerBook
 from pimentoscale.serving.runner import UpstreamRunner
+from pimentoscale.serving.selection import TargetSelector
 from pimentoscale.serving.state import NodeState
-from pimentoscale.stream import Hello, Peer, PeerLostError, PeerUnreachableError, Slow
+from pimentoscale.stream import Peer, PeerLostError, PeerUnreachableError
 from pimentoscale.timeline import EventName
 
 ANSWER_MARGIN_S = 0.25
 UNREACHABLE_PAUSE_S = 0.5
 RETRY_PAUSE_S = 0.005
-OWN_OCCUPANCY = 0.5
 LEAST_TARGETS_TO_HEDGE = 2
 HEDGE_OCCUPANCY = 0.5
 
@@ -63,7 +55,7 @@
 
 
 class Router:
-    """Chooses targets for calls and sees each call to its answer."""
+    """Sees each call to its answer, over as many attempts as its budget allows."""
 
     def __init__(
         self,
@@ -71,63 +63,15 @@
         state: NodeState,
         peers: PeerBook,
         runner: UpstreamRunner,
+        selector: TargetSelector,
         source: random.Random,
     ) -> None:
         self._state = state
         self._peers = peers
         self._runner = runner
-        self._services: dict[str, Targets] = {}
+        self._selector = selector
         self._source = source
         self._hedges = HedgeBudget()
-        self._usual = UsualTimes()
-        self._choice = make_choice(name=state.mode.target_choice, source=source)
-        peers.up_watchers.append(self._note_up)
-        peers.down_watchers.append(self._note_down)
-        peers.slow_watchers.append(self._note_slow)
-
-    def note_member(self, member: Member) -> None:
-        """Take over a announcement of a member."""
-        targets = self._services.setdefault(member.service, Targets())
-        if member.state is MemberState.GONE:
-            targets.remove(instance=member.instance)
-            return
-        known = targets.find(instance=member.instance)
-        if known is None or member.state is MemberState.ALIVE:
-            targets.add(_make_target(member))
-        if member.state is MemberState.DRAINING:
-            found = targets.find(instance=member.instance)
-            if found is not None:
-                found.is_draining = True
-
-    def _note_up(self, remote: Hello, peer: Peer) -> None:
-        target = self._find_target(remote.instance)
-        if target is not None:
-            target.is_usable = True
-
-    def _note_down(self, peer: Peer) -> None:
-        """Take a target out as soon as a connection to its node is lost."""
-        target = self._find_target(self._peers.find_instance(peer) or "")
-        if target is not None:
-            target.is_usable = False
-
-    def _note_slow(self, remote: Hello, frame: Slow) -> None:
-        self.note_slow(remote.instance, frame.kind, frame.late_ms)
-
-    def note_slow(self, instance: str, kind: str, late_ms: float) -> None:
-        """Take a target's own word that its upstream answers late."""
-        target = self._find_target(instance)
-        if target is not None:
-            now = asyncio.get_running_loop().time()
-            target.note_late(kind=kind, late_ms=late_ms, now=now)
-
-    def _find_target(self, instance: str) -> Target | None:
-        member = self._state.directory.find(instance=instance)
-        targets = self._services.get(member.service) if member else None
-        return targets.find(instance=instance) if targets else None
-
-    def list_targets(self) -> list[Target]:
-        """Return all targets, for operators."""
-        return [target for targets in self._services.values() for target in targets]
 
     async def run(
         self, context: CallContext, kind: Kind, request: CallRequest
@@ -174,7 +118,9 @@
     async def _attempt(self, routed: _RoutedCall) -> Answer:
         routed.attempts += 1
         now = asyncio.get_running_loop().time()
-        target = self._choose(routed, now)
+        target = self._selector.choose(
+            routed.context, routed.kind, routed.tried, now=now
+        )
         if isinstance(target, CallError):
             return Answer.of_error(target)
         delay_ms = self._get_hedge_delay_ms(routed)
@@ -193,10 +139,10 @@
         may_hedge = is_short and routed.data is not None
         if not (may_hedge and self._state.mode.sends_hedges):
             return None
-        if len(self._services[kind.service]) < LEAST_TARGETS_TO_HEDGE:
+        if self._selector.count(kind.service) < LEAST_TARGETS_TO_HEDGE:
             return None
         self._hedges.note_call(part=self._state.configuration.policy.hedge_part)
-        delay_ms = self._usual.get_late_ms(routed.context.kind)
+        delay_ms = self._selector.get_late_ms(routed.context.kind)
         if delay_ms is None or not routed.context.budget.spend():
             return None
         return delay_ms
@@ -230,7 +176,9 @@
         """Return another target for a late call, if one more may be sent."""
         now = asyncio.get_running_loop().time()
         late.note_late(kind=routed.context.kind, late_ms=delay_ms, now=now)
-        other = self._choose(routed, now)
+        other = self._selector.choose(
+            routed.context, routed.kind, routed.tried, now=now
+        )
         if isinstance(other, CallError) or other.instance in routed.tried:
             return None
         # Where the other target is busy too, a late call is no straggler's, and a
@@ -249,46 +197,6 @@
         finally:
             target.out -= 1
 
-    def _choose(self, routed: _RoutedCall, now: float) -> Target | CallError:
-        targets = self._services.get(routed.kind.service)
-        usable = targets.list_usable() if targets else []
-        if targets is None or not usable:
-            return CallError(kind=ErrorKind.NO_TARGET)
-        if self._state.mode.in_order_of_arrival:
-            pool = usable
-        else:
-            pool = targets.list_candidates(
-                importance=routed.kind.importance,
-                tried=routed.tried,
-                now=now,
-            )
-        if not pool:
-            return _refuse_early(usable)
-        policy = self._state.configuration.policy
-        request = ChoiceRequest(
-            kind=routed.context.kind,
-            zone=self._state.zone,
-            out_of_zone_ms=policy.out_of_zone_ms,
-        )
-        own = self._find_own(pool)
-        if own is not None and self._should_stay(own, routed, now):
-            return own
-        return self._choice.choose(pool, request, now=now)
-
-    def _should_stay(self, own: Target, routed: _RoutedCall, now: float) -> bool:
-        """Tell whether the own upstream has room and is as quick as usual."""
-        kind = routed.context.kind
-        usual_ms = self._usual.get_late_ms(kind)
-        is_quick = usual_ms is None or own.get_latency_ms(kind, now=now) < usual_ms
-        return is_quick and own.get_occupancy(now=now) <= OWN_OCCUPANCY
-
-    def _find_own(self, pool: list[Target]) -> Target | None:
-        """Return this node's own upstream, which is reached without a hop."""
-        if self._state.mode.in_order_of_arrival:
-            return None
-        own = self._state.holder.instance
-        return next((item for item in pool if item.instance == own), None)
-
     async def _attempt_here(self, routed: _RoutedCall, target: Target) -> Answer:
         loop = asyncio.get_running_loop()
         started = loop.time()
@@ -296,7 +204,9 @@
             routed.context, routed.kind, routed.make_request()
         )
         load = self._runner.report_load(now=loop.time())
-        self._learn(routed, target, answer, load, started)
+        self._selector.learn(
+            routed.context, routed.kind, target, answer, load, started=started
+        )
         return answer
 
     async def _attempt_there(self, routed: _RoutedCall, target: Target) -> Answer:
@@ -327,7 +237,9 @@
         except ValueError as error:
             return self._lose(routed, ErrorKind.ANSWER_DAMAGED, str(error))
         context.budget.take_back(lent=lent, spent=answer.retries_spent)
-        self._learn(routed, target, answer, load, started)
+        self._selector.learn(
+            routed.context, routed.kind, target, answer, load, started=started
+        )
         return answer
 
     async def _send(
@@ -362,30 +274,6 @@
             answer.outcome = Outcome.UNKNOWN
         return answer
 
-    def _learn(
-        self,
-        routed: _RoutedCall,
-        target: Target,
-        answer: Answer,
-        load: Load,
-        started: float,
-    ) -> None:
-        now = asyncio.get_running_loop().time()
-        if answer.outcome is Outcome.REFUSED:
-            target.note_refusal(load=load, now=now)
-            return
-        latency_ms = (now - started) * 1000
-        kind = routed.context.kind
-        if answer.outcome is Outcome.ANSWERED:
-            self._usual.note_answer(kind=kind, latency_ms=latency_ms)
-        target.note_answer(kind=kind, latency_ms=latency_ms, load=load, now=now)
-        targets = self._services[routed.kind.service]
-        policy = self._state.configuration.policy
-        if targets.judge(target, kind=kind, policy=policy, now=now):
-            self._state.record(
-                EventName.PROBATION_STARTED, kind=kind, detail=target.instance
-            )
-
 
 async def _wait_best(attempts: "set[asyncio.Task[Answer]]") -> Answer:
     """Return the first whole answer, or the last attempt's failure.
@@ -404,22 +292,3 @@
                 failed = answer
         if not pending and failed is not None:
             return failed
-
-
-def _make_target(member: Member) -> Target:
-    return Target(
-        instance=member.instance,
-        zone=member.zone,
-        service=member.service,
-        slots=member.slots,
-    )
-
-
-def _refuse_early(pool: list[Target]) -> CallError:
-    """Return the refusal that every target would give, at no cost of a hop."""
-    waits = [target.load.queue_ms for target in pool if target.load is not None]
-    retry_after_ms = max(min(waits, default=0), MIN_RETRY_AFTER_MS)
-    return CallError(kind=ErrorKind.OVERLOADED, retry_after_ms=retry_after_ms)
-
-
-MIN_RETRY_AFTER_MS = 20
