Use plain terms in docstrings, one poll period in the process tests

Read as a newcomer: 'own word' and 'word from the target' were figures of speech; the three polls in tests/test_path.py repeated the period of tests/fleet.py. They wait on a condition under a deadline, as before; no bound or expectation changes. Looked at and left: the faults and the configuration experiments share a shape (inject, wait, heal) but not logic; imports and enums that look alike are what they are. tests/test_path.py and tests/test_routing.py pass: 31 tests.

--- a/src/pimentoscale/routing/targets.py
+++ b/src/pimentoscale/routing/targets.py
@@ -30,7 +30,7 @@
     """One upstream as seen from this node.
 
     `out` counts this node's own calls that the target has not answered; `load`
-    is the target's own last word, which is worth less as it ages.
+    is the target's own last report, which is worth less as it ages.
     """
 
     instance: str
@@ -69,7 +69,7 @@
         return (max(self.load.in_flight, self.out) + 1) / max(1, self.load.limit)
 
     def admits(self, importance: int, *, now: float) -> bool:
-        """Tell whether it would take a call in, by its own last word."""
+        """Tell whether it would take a call in, by its own last report."""
         if now < self.refused_until:
             return False
         if self.load is None or now - self.load_at > REFUSED_PAUSE_S:
--- a/src/pimentoscale/serving/node.py
+++ b/src/pimentoscale/serving/node.py
@@ -153,7 +153,7 @@
         self._spawn(self._stop_when_idle())
 
     def note_upstream(self, state: str) -> None:
-        """Take the upstream's own word on itself."""
+        """Take the upstream's own report of itself."""
         if state == UPSTREAM_DRAINING:
             self.drain()
 
--- a/src/pimentoscale/serving/selection.py
+++ b/src/pimentoscale/serving/selection.py
@@ -78,7 +78,7 @@
         self.note_slow(remote.instance, frame.kind, frame.late_ms)
 
     def note_slow(self, instance: str, kind: str, late_ms: float) -> None:
-        """Take a target's own word that its upstream answers late."""
+        """Take a target's own report that its upstream answers late."""
         target = self._find_target(instance)
         if target is not None:
             now = asyncio.get_running_loop().time()
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -9,7 +9,7 @@
 import pytest
 
 from pimentoscale.settings import Address
-from tests.fleet import Bench, start_bench
+from tests.fleet import POLL_S, Bench, start_bench
 
 MEGABYTE = 1024 * 1024
 CALLS = 30
@@ -40,7 +40,7 @@
             found = await client.get(f"http://{address}/control/patches/{name}")
             if found.json()["state"] in ("in_force", "rejected"):
                 return found.json()
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(POLL_S)
 
 
 async def send_raw(address: Address, data: bytes) -> bytes:
@@ -187,7 +187,7 @@
         assert (await sending).last.outcome == "answered"
         async with asyncio.timeout(20):
             while node.poll() is None:
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(POLL_S)
         assert node.returncode == 0
         await bench.restore("photos-1")
 
@@ -200,7 +200,7 @@
             members = (await bench.fleet.get_status(node))["members"]
             if any(m["instance"] == instance and m["state"] == state for m in members):
                 return
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(POLL_S)
 
 
 def test_killed_instance_leaves_every_directory_of_its_zone(bench: Bench) -> None:
