Limit callers by the own target's answers; start what is due first

Change: admission/urgency.py (calls refused only if they can't end in time, order by due time), admission/roots.py (callers' routes cut when the own target's answers get late or fail), forwarding/origins.py (which routes are callers').

--- a/src/pimentoscale/admission/__init__.py
+++ b/src/pimentoscale/admission/__init__.py
@@ -2,7 +2,9 @@
 
 from pimentoscale.admission.controller import Admission, Decision, Freed, Load, Verdict
 from pimentoscale.admission.laws import LimitLaw, Sample, make_limit_law
+from pimentoscale.admission.roots import RootLimits
 from pimentoscale.admission.shares import Length
+from pimentoscale.admission.urgency import UrgencyAdmission
 from pimentoscale.admission.waiting import Entry
 
 __all__ = [
@@ -13,7 +15,9 @@
     "Length",
     "LimitLaw",
     "Load",
+    "RootLimits",
     "Sample",
+    "UrgencyAdmission",
     "Verdict",
     "make_limit_law",
 ]
--- /dev/null
+++ b/src/pimentoscale/admission/roots.py
@@ -0,0 +1,104 @@
+"""Limits how many requests of callers start their trees of calls at one target.
+
+Answers this load: a service deeper down is full, so the calls of the own target wait
+or fail. That shows in the own target's answers, without any word from below: they take
+longer than their objective, or are failures. Each route's concurrency is cut while too
+large a part of its answers is bad, and grows again while few are. The less important a
+route, the sooner it is cut, so that it makes room for the others.
+"""
+
+from dataclasses import dataclass
+
+# Part of the objective within which an answer is good, for the least and the most
+# important route of the target.
+GOOD_SHARE_LEAST = 0.5
+GOOD_SHARE_MOST = 0.85
+# The limit is cut above the one share of bad answers and grows below the other.
+BAD_SHARE_CUT = 0.15
+BAD_SHARE_GROW = 0.06
+BAD_SMOOTHING = 0.05
+CUT_RATIO = 0.85
+# One cut for each such time, in seconds: a change shows in the answers only after that.
+CUT_PAUSE_S = 0.4
+GROWTH_PER_ANSWER = 0.12
+LEAST_LIMIT = 2.0
+# A limit that is this many times what is in use stops growing.
+HEADROOM = 2.0
+
+
+@dataclass(slots=True, kw_only=True)
+class _RouteLimit:
+    limit: float
+    importance: int
+    running: int = 0
+    bad_share: float = 0.0
+    cut_at: float = 0.0
+
+
+class RootLimits:
+    """The limits of the routes by which callers reach one target."""
+
+    __slots__ = ("_most", "_routes")
+
+    def __init__(self, *, most: int) -> None:
+        self._most = float(most)
+        self._routes: dict[str, _RouteLimit] = {}
+
+    def set_most(self, most: int) -> None:
+        """Take over how many requests the target takes at once."""
+        self._most = float(most)
+
+    def try_start(self, route: str, *, importance: int) -> bool:
+        """Count one more request; return False if the route has no room."""
+        known = self._routes.get(route)
+        if known is None:
+            known = _RouteLimit(limit=self._most * HEADROOM, importance=importance)
+            self._routes[route] = known
+        known.importance = importance
+        if known.running >= known.limit:
+            return False
+        known.running += 1
+        return True
+
+    def end(self, route: str) -> None:
+        """Count a request that has ended, whatever became of it."""
+        self._routes[route].running -= 1
+
+    def observe(
+        self,
+        route: str,
+        *,
+        elapsed_s: float,
+        objective_s: float,
+        failed: bool,
+        now: float,
+    ) -> None:
+        """Learn from an answer of the target."""
+        known = self._routes.get(route)
+        if known is None:
+            return
+        good_s = objective_s * self._get_good_share(known)
+        is_bad = failed or elapsed_s > good_s
+        known.bad_share += BAD_SMOOTHING * (is_bad - known.bad_share)
+        if known.bad_share > BAD_SHARE_CUT:
+            if is_bad and now - known.cut_at >= CUT_PAUSE_S:
+                base = min(known.limit, known.running + 1.0)
+                known.limit = max(LEAST_LIMIT, base * CUT_RATIO)
+                known.cut_at = now
+        elif known.bad_share < BAD_SHARE_GROW:
+            most = min(self._most * HEADROOM, HEADROOM * known.running + LEAST_LIMIT)
+            if known.limit < most:
+                known.limit = min(most, known.limit + GROWTH_PER_ANSWER)
+
+    def get_limit(self, route: str) -> float | None:
+        """Return a route's limit, if it has been used."""
+        known = self._routes.get(route)
+        return known.limit if known else None
+
+    def _get_good_share(self, route: _RouteLimit) -> float:
+        importances = {item.importance for item in self._routes.values()}
+        least, most = min(importances), max(importances)
+        if least == most:
+            return GOOD_SHARE_LEAST
+        part = (route.importance - least) / (most - least)
+        return GOOD_SHARE_LEAST + part * (GOOD_SHARE_MOST - GOOD_SHARE_LEAST)
--- a/src/pimentoscale/admission/waiting.py
+++ b/src/pimentoscale/admission/waiting.py
@@ -14,7 +14,9 @@
 class Entry:
     """A call under admission control.
 
-    `deadline` and `arrived` are on the process's monotonic clock, in seconds.
+    `deadline`, `due`, `arrived` and `started` are on the process's monotonic clock, in
+    seconds; `due` is the time by which an answer is worth most. `expected_ms` is the
+    run time by which a waiting call was counted.
     """
 
     request: str
@@ -27,6 +29,8 @@
     deadline: float
     arrived: float = 0.0
     started: float = 0.0
+    due: float = 0.0
+    expected_ms: float = 0.0
     rank: Rank = (0, 0, 0, 0, 0)
 
 
--- a/src/pimentoscale/forwarding/entry.py
+++ b/src/pimentoscale/forwarding/entry.py
@@ -14,6 +14,7 @@
 )
 from pimentoscale.forwarding.frames import make_forward, read_forwarded
 from pimentoscale.forwarding.links import Links
+from pimentoscale.forwarding.origins import OriginTracker
 from pimentoscale.forwarding.placement import NodeView, Placement, PlacementRequest
 from pimentoscale.forwarding.retries import RetryBudget
 from pimentoscale.forwarding.state import SidecarState
@@ -69,6 +70,7 @@
         self._placement = Placement(source=source)
         self._splits: dict[str, ShareCounter] = {}
         self._budgets: dict[str, RetryBudget] = {}
+        self.origins = OriginTracker()
         self.in_progress = 0
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -93,6 +95,11 @@
         if route is None:
             error = CallError(kind=ErrorKind.NO_ROUTE)
             return self._answer_error(error, terms.identity, "")
+        self.origins.note(
+            connection=request.connection,
+            route=route.name,
+            target_idle_s=self._target.get_idle_s(now=now),
+        )
         forward = self._make_forward(request, terms, route, now)
         tried = await self._run(forward, route)
         return self._finish(forward, tried, now)
@@ -115,7 +122,7 @@
             route=route.name,
             idempotent=route.idempotent,
             importance=route.importance,
-            is_inner=False,
+            is_inner=self.origins.is_inner(route.name),
             deadline=now + min(remaining_s, route.timeout_s),
             objective_s=route.objective_s,
             message=request,
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -123,6 +123,7 @@
         self.routes.on_change = self._follow_routes
         self.links.on_version = self.routes.note_peer_version
         self.links.on_draining = self._note_stopping
+        self._outgoing.on_closed = self.entry.origins.forget
 
     async def start(self) -> None:
         """Listen, and start the tasks that keep the node informed."""
--- a/src/pimentoscale/forwarding/retries.py
+++ b/src/pimentoscale/forwarding/retries.py
@@ -1,9 +1,9 @@
-"""Bounds the repeated requests that a node sends, so that all nodes together keep to
-the operators' bound without talking to each other.
+"""Bounds the repeated requests that a node sends.
 
-A repeat at one service causes repeats of all the calls below it, and each service on
-the way may add its own. So a node spends a part of the ratio on its own requests, and
-of the slack only the share that one of many nodes may take.
+All nodes together keep to the operators' bound without talking to each other. A repeat
+at one service causes repeats of all the calls below it, and each service on the way may
+add its own. So a node spends a part of the ratio on its own requests, and of the slack
+only the share that one of many nodes may take.
 """
 
 from collections import deque
--- a/src/pimentoscale/forwarding/routes.py
+++ b/src/pimentoscale/forwarding/routes.py
@@ -8,7 +8,7 @@
 from pimentoscale.forwarding.links import Links
 from pimentoscale.forwarding.state import SidecarState
 from pimentoscale.logs import get_logger
-from pimentoscale.routes import RouteTable
+from pimentoscale.routes import Route, RouteTable
 from pimentoscale.store import KeyedRecord
 from pimentoscale.stream import (
     FetchRoutes,
@@ -21,6 +21,8 @@
 # The store tells all nodes at once; a peer is asked if it has not done so by then.
 PEER_HEAD_START_S = 0.1
 FETCH_TIMEOUT_S = 1.0
+# Lines that one new version writes about its routes.
+MAX_CHANGE_LINES = 20
 
 log = get_logger("routes")
 
@@ -64,6 +66,7 @@
                     "version %d of %s is older than %d", table.version, source, before
                 )
             return False
+        before_routes = self._state.table.routes if self._state.table else []
         self._state.table = table
         self._state.table_at = now
         self._state.record = data
@@ -74,6 +77,7 @@
             source,
             len(table.routes),
         )
+        _log_changes(before_routes, table)
         if self.on_change is not None:
             self.on_change(table)
         return True
@@ -97,3 +101,13 @@
             return
         if isinstance(answer, RoutesCopy) and answer.data:
             self.apply(answer.data, source=f"peer {name}")
+
+
+def _log_changes(before: list[Route], table: RouteTable) -> None:
+    """Log the routes that are new or changed, a bounded number of lines."""
+    known = {route.name: route for route in before}
+    changed = [route for route in table.routes if known.get(route.name) != route]
+    for route in changed[:MAX_CHANGE_LINES]:
+        log.info("version %d: %s", table.version, route)
+    if len(changed) > MAX_CHANGE_LINES:
+        log.info("version %d: %d routes changed", table.version, len(changed))
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -4,15 +4,16 @@
 from collections.abc import Callable
 
 from pimentoscale.admission import (
-    Admission,
     Entry,
     Freed,
     Length,
+    LimitLaw,
     Load,
+    RootLimits,
+    UrgencyAdmission,
     Verdict,
     make_limit_law,
 )
-from pimentoscale.configuration import Policy
 from pimentoscale.errors import CallError, ErrorKind
 from pimentoscale.forwarding.exchange import Attempt, Fate, ForwardRequest, Messages
 from pimentoscale.forwarding.settings import SidecarSettings
@@ -41,6 +42,10 @@
 # Calls of targets go before requests of callers, whatever the importance of those.
 INNER_IMPORTANCE = 10_000
 DEFAULT_CONNECTIONS = 128
+# When a caller whose route is at its limit may come back, as a part of its objective.
+ROOT_RETRY_SHARE = 0.3
+LEAST_LIMIT = 2
+FIRST_FAILURE = 500
 CONNECTIONS_SPARE = 2
 
 log = get_logger("target")
@@ -68,11 +73,11 @@
         self, *, settings: SidecarSettings, messages: Messages, now: float
     ) -> None:
         self._messages = messages
-        self._policy = Policy(ramp_s=0)
-        self._started = now
         self._waiting: dict[int, _Waiting] = {}
-        self._admission = self._make_admission(1, now)
         self._slots = 0
+        self._admission = UrgencyAdmission(law=_make_law(1))
+        self._roots = RootLimits(most=1)
+        self._idle_since = now
         self._client = HttpClient(address=settings.upstream, limit=DEFAULT_CONNECTIONS)
         self.registration = UpstreamRegistration(address=settings.upstream)
         self.in_progress = 0
@@ -124,39 +129,67 @@
             return self._report(Attempt.of_error(ErrorKind.NO_TARGET))
         if current.is_leaving:
             return self._report(Attempt.of_error(ErrorKind.DRAINING))
+        if request.is_inner:
+            return self._report(await self._run_admitted(request))
+        if not self._roots.try_start(request.route, importance=request.importance):
+            error = CallError(
+                kind=ErrorKind.OVERLOADED,
+                detail="the route's limit at this target",
+                retry_after_ms=int(request.objective_s * 1000 * ROOT_RETRY_SHARE),
+            )
+            return self._report(Attempt(fate=Fate.NOT_RUN, error=error))
+        try:
+            started = asyncio.get_running_loop().time()
+            attempt = await self._run_admitted(request)
+            self._observe_root(request, attempt, started)
+            return self._report(attempt)
+        finally:
+            self._roots.end(request.route)
+
+    def get_idle_s(self, *, now: float) -> float:
+        """Return for how long nothing has been handed to the upstream."""
+        return 0.0 if self._admission.running else now - self._idle_since
+
+    async def _run_admitted(self, request: ForwardRequest) -> Attempt:
+        """Wait for a slot, then hand the request over."""
         waiting = _Waiting(entry=_make_entry(request))
         self.in_progress += 1
         is_overload = False
         try:
             error = await self._enter(waiting)
             if error is not None:
-                return self._report(Attempt(fate=Fate.NOT_RUN, error=error))
+                return Attempt(fate=Fate.NOT_RUN, error=error)
             attempt = await self._hand_over(request)
             is_overload = attempt.fate is Fate.NOT_RUN and attempt.arrived
-            return self._report(attempt)
+            return attempt
         finally:
             self._leave(waiting, is_overload=is_overload)
             self.in_progress -= 1
 
+    def _observe_root(
+        self, request: ForwardRequest, attempt: Attempt, started: float
+    ) -> None:
+        response = attempt.response
+        if response is None and attempt.fate is Fate.NOT_RUN:
+            return
+        now = asyncio.get_running_loop().time()
+        self._roots.observe(
+            request.route,
+            elapsed_s=now - started,
+            objective_s=request.objective_s,
+            failed=response is None or response.status >= FIRST_FAILURE,
+            now=now,
+        )
+
     def _follow_news(self, slots: int, now: float) -> None:
         if slots != self._slots and slots > 0:
-            if self._slots == 0:
-                self._admission = self._make_admission(slots, now)
-            else:
-                self._admission.set_law(
-                    make_limit_law(
-                        name=LIMIT_LAW, slots=slots, least=self._policy.min_limit
-                    )
-                )
+            self._admission.set_law(_make_law(slots))
+            self._roots.set_most(slots)
             self._slots = slots
+            self._let_start(self._admission.start_waiting(now=now))
         if self.on_news is not None:
             self.on_news()
 
-    def _make_admission(self, slots: int, now: float) -> Admission:
-        law = make_limit_law(name=LIMIT_LAW, slots=slots, least=self._policy.min_limit)
-        # All requests are of one class here; the least share goes to the other.
-        return Admission(law=law, policy=self._policy, long_share=0.0, now=now)
-
     def _report(self, attempt: Attempt) -> Attempt:
         attempt.load = self.report_load(now=asyncio.get_running_loop().time())
         return attempt
@@ -201,6 +234,7 @@
         waiting.is_held = False
         now = asyncio.get_running_loop().time()
         freed = self._admission.release(waiting.entry, is_overload=is_overload, now=now)
+        self._idle_since = now
         self._let_start(freed)
 
     def _let_start(self, freed: Freed) -> None:
@@ -296,6 +330,10 @@
         )
 
 
+def _make_law(slots: int) -> LimitLaw:
+    return make_limit_law(name=LIMIT_LAW, slots=slots, least=LEAST_LIMIT)
+
+
 def _make_entry(request: ForwardRequest) -> Entry:
     importance = request.importance
     if request.is_inner:
@@ -309,4 +347,5 @@
         depth=0,
         work_ms=0,
         deadline=request.deadline,
+        due=asyncio.get_running_loop().time() + request.objective_s,
     )
--- a/src/pimentoscale/http/message.py
+++ b/src/pimentoscale/http/message.py
@@ -44,12 +44,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class HttpRequest:
-    """A request; header names are in lower case, `path` holds the query too."""
+    """A request; header names are in lower case, `path` holds the query too.
+
+    `connection` tells the server's connections apart; 0 elsewhere.
+    """
 
     method: bytes
     path: bytes
     headers: list[Header] = field(default_factory=list)
     body: bytes = b""
+    connection: int = 0
 
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
--- a/src/pimentoscale/http/server.py
+++ b/src/pimentoscale/http/server.py
@@ -76,6 +76,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Give up the request in progress: nobody waits for its answer."""
         self._server.connections.discard(self)
+        if self._server.on_closed is not None:
+            self._server.on_closed(id(self))
         self._ready.clear()
         if self._task is not None:
             self._task.cancel()
@@ -141,6 +143,7 @@
             path=self._url,
             headers=self._headers,
             body=b"".join(self._body),
+            connection=id(self),
         )
         self._ready.append((request, self._parser.should_keep_alive()))
 
@@ -208,6 +211,7 @@
         self.handler = handler
         self.limits = limits
         self.is_closing = False
+        self.on_closed: Callable[[int], None] | None = None
         self.connections: set[_ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
--- a/src/pimentoscale/membership/upstream.py
+++ b/src/pimentoscale/membership/upstream.py
@@ -8,7 +8,9 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class UpstreamAnnouncement:
-    """One announcement. `started_ms` is the Unix time of the upstream's start and
+    """One announcement.
+
+    `started_ms` is the Unix time of the upstream's start and
     `sequence` counts the announcements since then; `slow_for_s` is how much longer it
     is slow after its start.
     """
@@ -70,10 +72,12 @@
             return Admittance.STALE
         self._heard_at = now
         is_same = known is not None and known.identity == announcement.identity
-        if is_same and known is not None and known.is_leaving:
+        is_same_start = (
+            known is not None and known.started_ms >= announcement.started_ms
+        )
+        if known is not None and known.is_leaving and is_same and is_same_start:
             # One that leaves does not come back under the same start.
-            if known.started_ms == announcement.started_ms:
-                return Admittance.KNOWN
+            return Admittance.KNOWN
         self.current = announcement
         if (
             known is None
--- a/src/pimentoscale/platform/store.py
+++ b/src/pimentoscale/platform/store.py
@@ -5,6 +5,7 @@
 import binascii
 import random
 import struct
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -12,6 +13,7 @@
 from pimentoscale.http import (
     AnswerBrokenError,
     HttpClient,
+    HttpClientConnection,
     HttpRequest,
     HttpResponse,
     NotConnectedError,
@@ -38,6 +40,8 @@
 GONE = 410
 OK = 200
 
+T = TypeVar("T")
+
 
 class _Appended(msgspec.Struct):
     offset: int
@@ -141,7 +145,9 @@
             raise StoreError(f"{path}: status {response.status}")
         return response
 
-    async def _exchange(self, connection, request):  # type: ignore[no-untyped-def]
+    async def _exchange(
+        self, connection: HttpClientConnection, request: HttpRequest
+    ) -> HttpResponse:
         loop = asyncio.get_running_loop()
         try:
             return await connection.exchange(request)
@@ -195,7 +201,7 @@
     )
 
 
-def _decode(response: HttpResponse, shape):  # type: ignore[no-untyped-def]
+def _decode(response: HttpResponse, shape: type[T]) -> T:
     try:
         return msgspec.json.decode(response.body, type=shape)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
--- a/src/pimentoscale/routes/split.py
+++ b/src/pimentoscale/routes/split.py
@@ -6,8 +6,9 @@
 
 
 class ShareCounter:
-    """Smooth weighted round robin: after any number of requests no service is more
-    than one request away from its share.
+    """Smooth weighted round robin.
+
+    After any number of requests no service is more than one request off its share.
 
     `phase` from 0 to 1 shifts the order, so that nodes do not choose in step.
     """
