One client of the store, and a stand-in that speaks the platform's protocol

Cause: the log client and the stand-in spoke a protocol of their own. Change: platform/store.py serves the product's own log too; pimento-platform answers append with 'at', read with wait, newest, 410 with the first offset, lost and late answers, forgotten history. Requests are due by the time that their sender still has; an objective never exceeds the route's time-out.

--- a/src/pimentoscale/forwarding/entry.py
+++ b/src/pimentoscale/forwarding/entry.py
@@ -124,7 +124,7 @@
             importance=route.importance,
             is_inner=self.origins.is_inner(route.name),
             deadline=now + min(remaining_s, route.timeout_s),
-            objective_s=route.objective_s,
+            objective_s=min(route.objective_s, route.timeout_s),
             message=request,
         )
 
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -45,6 +45,8 @@
 # When a caller whose route is at its limit may come back, as a part of its objective.
 ROOT_RETRY_SHARE = 0.3
 LEAST_LIMIT = 2
+# A request is due after this part of the time that its sender still waits.
+DUE_SHARE = 0.5
 FIRST_FAILURE = 500
 CONNECTIONS_SPARE = 2
 
@@ -334,6 +336,12 @@
     return make_limit_law(name=LIMIT_LAW, slots=slots, least=LEAST_LIMIT)
 
 
+def _find_due(request: ForwardRequest, *, now: float) -> float:
+    """Return when the request is due; one whose sender has little time goes first."""
+    remaining_s = max(0.0, request.deadline - now)
+    return now + min(request.objective_s, remaining_s * DUE_SHARE)
+
+
 def _make_entry(request: ForwardRequest) -> Entry:
     importance = request.importance
     if request.is_inner:
@@ -347,5 +355,5 @@
         depth=0,
         work_ms=0,
         deadline=request.deadline,
-        due=asyncio.get_running_loop().time() + request.objective_s,
+        due=_find_due(request, now=asyncio.get_running_loop().time()),
     )
--- a/src/pimentoscale/platform/store.py
+++ b/src/pimentoscale/platform/store.py
@@ -3,7 +3,6 @@
 import asyncio
 import base64
 import binascii
-import random
 import struct
 from typing import TypeVar
 from urllib.parse import quote
@@ -48,6 +47,10 @@
     end_offset: int
 
 
+class _Gone(msgspec.Struct):
+    first_offset: int
+
+
 class _Item(msgspec.Struct):
     key: str
     value: str
@@ -63,12 +66,10 @@
 class StoreClient:
     """Calls the store; it keeps connections and no other state."""
 
-    __slots__ = ("_client", "_producer", "_sequences", "calls")
+    __slots__ = ("_client", "calls")
 
-    def __init__(self, *, address: Address, source: random.Random) -> None:
+    def __init__(self, *, address: Address) -> None:
         self._client = HttpClient(address=address, limit=MAX_CONNECTIONS)
-        self._producer = f"{source.getrandbits(64):016x}"
-        self._sequences: dict[str, int] = {}
         self.calls = 0
 
     async def append(self, *, topic: str, records: list[bytes]) -> int:
@@ -87,8 +88,7 @@
     async def read(self, *, topic: str, offset: int, wait_ms: int) -> RecordPage:
         """Return the records of partition 0 from an offset on."""
         path = f"/v1/log-read?topic={quote(topic)}&part=0&from={offset}"
-        if wait_ms:
-            path += f"&wait_ms={wait_ms}"
+        path += f"&wait_ms={wait_ms}"
         timeout_s = CALL_TIMEOUT_S + wait_ms / 1000
         response = await self._call(b"GET", path, b"", timeout_s)
         return decode_page(response.body, offset=offset)
@@ -140,7 +140,9 @@
             reason = str(error) or f"no answer in {timeout_s:.1f} s"
             raise StoreError(f"{path}: {reason}") from error
         if response.status == GONE:
-            raise StoreGapError(f"{path}: the records are gone")
+            gone = _decode(response, _Gone)
+            reason = f"{path}: the records before {gone.first_offset} are gone"
+            raise StoreGapError(reason, first_offset=gone.first_offset)
         if response.status != OK:
             raise StoreError(f"{path}: status {response.status}")
         return response
--- a/src/pimentoscale/programs/sidecar.py
+++ b/src/pimentoscale/programs/sidecar.py
@@ -46,7 +46,7 @@
     return Sidecar(
         settings=settings,
         messages=PlatformMessages(),
-        store=StoreClient(address=settings.store, source=source),
+        store=StoreClient(address=settings.store),
         topics=SharedTopics(
             routes=CONFIGURATION_TOPIC,
             routes_key=CONFIGURATION_KEY,
--- a/src/pimentoscale/serving/log_tasks.py
+++ b/src/pimentoscale/serving/log_tasks.py
@@ -21,10 +21,15 @@
     decode_roster,
     encode_roster,
 )
-from pimentoscale.platform.log_client import LogClient, LogError
 from pimentoscale.serving.distribution import Distribution
 from pimentoscale.serving.overlay import Overlay
 from pimentoscale.serving.state import NodeState
+from pimentoscale.store import (
+    RecordPage,
+    RecordStore,
+    StoreError,
+    StoreGapError,
+)
 from pimentoscale.stream import Peer
 from pimentoscale.timeline import EventName
 
@@ -57,7 +62,7 @@
         self,
         *,
         state: NodeState,
-        client: LogClient,
+        client: RecordStore,
         overlay: Overlay,
         distribution: Distribution,
         source: random.Random,
@@ -152,9 +157,7 @@
     async def _read_configuration_page(self) -> None:
         asked_at = asyncio.get_running_loop().time()
         offset = self._state.feed.fold.next_offset
-        page = await self._client.read(
-            stream=CONFIGURATION_STREAM, offset=offset, wait_ms=READ_WAIT_MS
-        )
+        page = await self._read(CONFIGURATION_STREAM, offset)
         is_whole = self._distribution.take_page(
             first=page.first, records=page.records, asked_at=asked_at
         )
@@ -163,9 +166,7 @@
             await asyncio.sleep(RETRY_S)
 
     async def _read_member_page(self) -> None:
-        page = await self._client.read(
-            stream=MEMBERSHIP_STREAM, offset=self._next_member, wait_ms=READ_WAIT_MS
-        )
+        page = await self._read(MEMBERSHIP_STREAM, self._next_member)
         for data in page.records:
             match decode_roster(data):
                 case Ok(members):
@@ -176,12 +177,23 @@
         self._next_member = max(self._next_member, page.first + len(page.records))
         self._has_members = self._has_members or not page.records
 
+    async def _read(self, topic: str, offset: int) -> RecordPage:
+        """Return records from an offset on, or from the first that is kept."""
+        try:
+            return await self._client.read(
+                topic=topic, offset=offset, wait_ms=READ_WAIT_MS
+            )
+        except StoreGapError as gap:
+            return await self._client.read(
+                topic=topic, offset=gap.first_offset, wait_ms=0
+            )
+
     async def _append_own(self) -> None:
         await self._append_members([self._state.own])
 
     async def _append_members(self, members: list[Member]) -> None:
         data = encode_roster(members)
-        await self._client.append(stream=MEMBERSHIP_STREAM, data=data)
+        await self._client.append(topic=MEMBERSHIP_STREAM, records=[data])
 
     async def _append_snapshot(self) -> None:
         fold = self._state.feed.fold
@@ -214,7 +226,7 @@
 
     async def _append(self, record: Record) -> None:
         data = encode_record(record)
-        await self._client.append(stream=CONFIGURATION_STREAM, data=data)
+        await self._client.append(topic=CONFIGURATION_STREAM, records=[data])
 
     async def _append_zone(self) -> None:
         await self._append_members(self._list_zone())
@@ -233,7 +245,7 @@
         """Take one step; after a failure of the log wait for a while."""
         try:
             await step()
-        except LogError as error:
+        except StoreError as error:
             self.read_failures += 1
             log.debug("the log failed: %s", error)
             await asyncio.sleep(RETRY_S * (1 + self._source.random()))
--- a/src/pimentoscale/serving/node.py
+++ b/src/pimentoscale/serving/node.py
@@ -12,7 +12,7 @@
 from pimentoscale.logs import get_logger
 from pimentoscale.membership import Directory, Member, MemberState
 from pimentoscale.metrics import Gauge, Metrics
-from pimentoscale.platform.log_client import LogClient
+from pimentoscale.platform.store import StoreClient
 from pimentoscale.policy import PolicyMode
 from pimentoscale.routing import Target
 from pimentoscale.serving.acceptor import Acceptor
@@ -118,7 +118,7 @@
             overlay=self._overlay,
             pauses=self._pauses,
         )
-        self._log = LogClient(address=settings.platform)
+        self._log = StoreClient(address=settings.platform)
         self._log_tasks = LogTasks(
             state=self.state,
             client=self._log,
--- a/src/pimentoscale/serving/patches.py
+++ b/src/pimentoscale/serving/patches.py
@@ -10,9 +10,9 @@
     PatchRecord,
     encode_record,
 )
-from pimentoscale.platform.log_client import LogClient, LogError
 from pimentoscale.serving.log_tasks import CONFIGURATION_STREAM
 from pimentoscale.serving.state import get_wall_ms
+from pimentoscale.store import RecordStore, StoreError
 
 APPEND_TRIES = 5
 RETRY_S = 0.2
@@ -46,7 +46,7 @@
     missing: list[str] = field(default_factory=list)
 
 
-async def submit_patch(client: LogClient, submission: PatchSubmission) -> bool:
+async def submit_patch(client: RecordStore, submission: PatchSubmission) -> bool:
     """Append a patch; return False if the log gave no answer in several tries.
 
     The patch may then be in the log all the same, once or more than once; the
@@ -62,8 +62,10 @@
     )
     for _ in range(APPEND_TRIES):
         try:
-            await client.append(stream=CONFIGURATION_STREAM, data=encode_record(record))
-        except LogError:
+            await client.append(
+                topic=CONFIGURATION_STREAM, records=[encode_record(record)]
+            )
+        except StoreError:
             await asyncio.sleep(RETRY_S)
         else:
             return True
--- a/src/pimentoscale/store/interface.py
+++ b/src/pimentoscale/store/interface.py
@@ -9,7 +9,11 @@
 
 
 class StoreGapError(StoreError):
-    """The records that were asked for are gone."""
+    """The records that were asked for are gone; `first_offset` is kept."""
+
+    def __init__(self, message: str, *, first_offset: int) -> None:
+        super().__init__(message)
+        self.first_offset = first_offset
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/pimentoscale_bench/fleet.py
+++ b/src/pimentoscale_bench/fleet.py
@@ -18,7 +18,7 @@
 import tomli_w
 
 from pimentoscale.configuration import Patch, PatchRecord, encode_record
-from pimentoscale.platform.log_client import LogClient
+from pimentoscale.platform.store import StoreClient
 from pimentoscale.settings import Address
 from pimentoscale_bench.deployment import (
     PLATFORM_PORT,
@@ -126,8 +126,8 @@
             message="the deployment",
             at_ms=int(time.time() * 1000),
         )
-        client = LogClient(address=self.platform)
-        await client.append(stream="configuration", data=encode_record(record))
+        client = StoreClient(address=self.platform)
+        await client.append(topic="configuration", records=[encode_record(record)])
 
     async def wait_ready(self) -> None:
         """Wait until every node serves; raises `TimeoutError`."""
--- a/src/pimentoscale_bench/platform.py
+++ b/src/pimentoscale_bench/platform.py
@@ -1,6 +1,13 @@
-"""pimento-platform: a stand-in for the platform's log service, with faults."""
+"""pimento-platform: a stand-in for the platform's store, with faults on request.
+
+It speaks the part of the platform's protocol that the product uses: append with `at`,
+read with wait, and the newest record of each key of a keyed topic.
+"""
 
 import asyncio
+import base64
+import contextlib
+import struct
 import time
 from collections import defaultdict
 from dataclasses import dataclass, field, replace
@@ -15,66 +22,147 @@
 app = cyclopts.App(name="pimento-platform", help=__doc__)
 
 MAX_PAGE = 500
+KEYED_PREFIX = "keyed."
+LENGTH = struct.Struct(">I")
+OFFSETS = struct.Struct(">QQ")
+
+
+class StoreGoneError(Exception):
+    """The records that were asked for are gone."""
+
+
+class StoreConditionError(Exception):
+    """The partition does not end where the writer expects."""
 
 
 @dataclass(slots=True, kw_only=True)
-class LogFaults:
-    """What goes wrong for now."""
+class StoreFaults:
+    """What goes wrong for now.
+
+    `reject_status` is the answer to every call if it is not 0; `lost_answers` counts
+    the appends that are done and not answered, `late_ms` delays them.
+    """
 
     is_down: bool = False
+    reject_status: int = 0
     delay_ms: int = 0
     lost_answers: int = 0
+    late_ms: int = 0
     retention_s: float = 3600.0
 
 
 @dataclass(slots=True, kw_only=True)
-class _Stream:
+class _Partition:
     first: int = 0
     records: list[bytes] = field(default_factory=list)
     times: list[float] = field(default_factory=list)
+    newest: dict[bytes, tuple[bytes, int]] = field(default_factory=dict)
     arrived: asyncio.Event = field(default_factory=asyncio.Event)
 
+    @property
+    def end(self) -> int:
+        """Return the offset of the next record."""
+        return self.first + len(self.records)
+
 
-class LogService:
-    """Streams of records in memory."""
+class StoreService:
+    """Topics of one partition each, in memory."""
 
     def __init__(self) -> None:
-        self.faults = LogFaults()
-        self._streams: dict[str, _Stream] = defaultdict(_Stream)
+        self.faults = StoreFaults()
+        self._topics: dict[str, _Partition] = defaultdict(_Partition)
         self.appends = 0
 
-    def append(self, name: str, data: bytes, *, now: float) -> int:
-        """Append a record and return its offset."""
-        stream = self._streams[name]
-        stream.records.append(data)
-        stream.times.append(now)
-        stream.arrived.set()
-        stream.arrived = asyncio.Event()
+    def append(
+        self, topic: str, records: list[bytes], *, at: int | None, now: float
+    ) -> int:
+        """Append records and return the offset of the first."""
+        partition = self._topics[topic]
+        if at is not None and at != partition.end:
+            raise StoreConditionError
+        first = partition.end
+        for record in records:
+            if topic.startswith(KEYED_PREFIX):
+                _keep_newest(partition, record)
+            partition.records.append(record)
+            partition.times.append(now)
+        partition.arrived.set()
+        partition.arrived = asyncio.Event()
         self.appends += 1
-        return stream.first + len(stream.records) - 1
-
-    async def read(
-        self, name: str, offset: int, wait_ms: int
-    ) -> tuple[int, list[bytes]]:
-        """Return the first offset and the records from there on."""
-        stream = self._streams[name]
-        if offset >= stream.first + len(stream.records) and wait_ms > 0:
-            try:
-                await asyncio.wait_for(stream.arrived.wait(), wait_ms / 1000)
-            except TimeoutError:
-                return offset, []
-        first = max(offset, stream.first)
-        start = first - stream.first
-        return first, stream.records[start : start + MAX_PAGE]
+        return first
+
+    async def read(self, topic: str, offset: int, wait_ms: int) -> bytes:
+        """Return a page of records; raises `StoreGoneError`."""
+        partition = self._topics[topic]
+        if offset >= partition.end and wait_ms > 0:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(partition.arrived.wait(), wait_ms / 1000)
+        if offset < partition.first:
+            raise StoreGoneError
+        start = offset - partition.first
+        page = partition.records[start : start + MAX_PAGE]
+        body = b"".join(LENGTH.pack(len(record)) + record for record in page)
+        return OFFSETS.pack(partition.end, partition.first) + body
+
+    def describe_newest(self, topic: str) -> dict[str, Any]:
+        """Return the newest record of each key."""
+        partition = self._topics[topic]
+        items = [
+            {
+                "key": key.decode(),
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (value, offset) in sorted(partition.newest.items())
+        ]
+        return {"items": items, "has_more": False, "end_offset": partition.end}
+
+    def get_first(self, topic: str) -> int:
+        """Return the first offset that is kept."""
+        return self._topics[topic].first
+
+    def get_end(self, topic: str) -> int:
+        """Return the offset of the next record."""
+        return self._topics[topic].end
 
     def expire(self, *, now: float) -> None:
         """Drop the records that are older than the retention."""
-        for stream in self._streams.values():
-            limit = now - self.faults.retention_s
-            dropped = sum(at < limit for at in stream.times)
-            del stream.records[:dropped]
-            del stream.times[:dropped]
-            stream.first += dropped
+        limit = now - self.faults.retention_s
+        for partition in self._topics.values():
+            dropped = sum(at < limit for at in partition.times)
+            _drop(partition, dropped)
+
+    def forget(self) -> None:
+        """Drop all records; the newest of each key stay."""
+        for partition in self._topics.values():
+            _drop(partition, len(partition.records))
+
+
+def _drop(partition: _Partition, count: int) -> None:
+    del partition.records[:count]
+    del partition.times[:count]
+    partition.first += count
+
+
+def _keep_newest(partition: _Partition, record: bytes) -> None:
+    end = 1 + record[0]
+    key, value = record[1:end], record[end:]
+    if value:
+        partition.newest[key] = (value, partition.end)
+    else:
+        partition.newest.pop(key, None)
+
+
+def split_records(body: bytes) -> list[bytes]:
+    """Return the records of an append's body, each behind its length."""
+    records: list[bytes] = []
+    position = 0
+    while position < len(body):
+        (size,) = LENGTH.unpack_from(body, position)
+        position += LENGTH.size
+        records.append(body[position : position + size])
+        position += size
+    return records
 
 
 def _send_json(item: Any, status: int = 200) -> Response[bytes]:
@@ -82,61 +170,103 @@
     return Response(data, status_code=status, media_type="application/json")
 
 
-async def _suffer(service: LogService) -> Response[bytes] | None:
+async def _suffer(service: StoreService) -> Response[bytes] | None:
     if service.faults.delay_ms:
         await asyncio.sleep(service.faults.delay_ms / 1000)
     if service.faults.is_down:
         return _send_json({"error": "down"}, 503)
+    if service.faults.reject_status:
+        return _send_json({"error": "rejected"}, service.faults.reject_status)
     return None
 
 
-@post("/streams/{name:str}/records", status_code=200)
-async def append_record(
-    name: str, request: Request[Any, Any, Any], state: State
+@post("/v1/log-append", status_code=200)
+async def append_records(
+    request: Request[Any, Any, Any], state: State
 ) -> Response[bytes]:
-    """Append the body as one record."""
-    service: LogService = state.service
+    """Append the records of the body."""
+    service: StoreService = state.service
     if (failure := await _suffer(service)) is not None:
         return failure
-    offset = service.append(name, await request.body(), now=time.monotonic())
-    if service.faults.lost_answers > 0:
+    query = request.query_params
+    topic = query["topic"]
+    at = int(query["at"]) if "at" in query else None
+    records = split_records(await request.body())
+    is_lost = service.faults.lost_answers > 0
+    if is_lost:
         service.faults.lost_answers -= 1
+        await asyncio.sleep(service.faults.late_ms / 1000)
+    try:
+        offset = service.append(topic, records, at=at, now=time.monotonic())
+    except StoreConditionError:
+        return _send_json({"end_offset": service.get_end(topic)}, 412)
+    if is_lost:
         return _send_json({"error": "lost"}, 504)
-    return _send_json({"offset": offset})
+    return _send_json({"offset": offset, "end_offset": service.get_end(topic)})
 
 
-@get("/streams/{name:str}/records")
+@get("/v1/log-read")
 async def read_records(
-    name: str, request: Request[Any, Any, Any], state: State
+    request: Request[Any, Any, Any], state: State
 ) -> Response[bytes]:
     """Return a page of records from an offset on."""
-    service: LogService = state.service
+    service: StoreService = state.service
     if (failure := await _suffer(service)) is not None:
         return failure
     query = request.query_params
+    topic = query["topic"]
     service.expire(now=time.monotonic())
-    first, records = await service.read(
-        name, int(query.get("from", 0)), int(query.get("wait_ms", 0))
-    )
+    try:
+        page = await service.read(topic, int(query["from"]), int(query["wait_ms"] or 0))
+    except StoreGoneError:
+        return _send_json({"first_offset": service.get_first(topic)}, 410)
     if service.faults.is_down:
         return _send_json({"error": "down"}, 503)
-    return _send_json({"first": first, "records": records})
+    return Response(page, media_type="application/octet-stream")
+
+
+@get("/v1/log-newest")
+async def read_newest(request: Request[Any, Any, Any], state: State) -> Response[bytes]:
+    """Return the newest record of each key."""
+    service: StoreService = state.service
+    if (failure := await _suffer(service)) is not None:
+        return failure
+    return _send_json(service.describe_newest(request.query_params["topic"]))
 
 
 @post("/faults", status_code=200)
 async def set_faults(request: Request[Any, Any, Any], state: State) -> Response[bytes]:
     """Change what goes wrong; keys that are absent stay as they are."""
-    service: LogService = state.service
-    service.faults = replace(service.faults, **(await request.json()))
+    service: StoreService = state.service
+    changes = await request.json()
+    if changes.pop("forget", False):
+        service.forget()
+    service.faults = replace(service.faults, **changes)
     return _send_json(msgspec.to_builtins(service.faults))
 
 
 @get("/counts")
 async def get_counts(state: State) -> Response[bytes]:
-    """Return how many records were appended."""
+    """Return how many appends were done."""
     return _send_json({"appends": state.service.appends})
 
 
+def make_application(service: StoreService) -> Litestar:
+    """Return the stand-in as an application."""
+    return Litestar(
+        route_handlers=[
+            append_records,
+            read_records,
+            read_newest,
+            set_faults,
+            get_counts,
+        ],
+        state=State({"service": service}),
+        openapi_config=None,
+        logging_config=None,
+    )
+
+
 @app.default
 def run(
     *,
@@ -144,14 +274,8 @@
     port: Annotated[int, cyclopts.Parameter(help="TCP port")] = 7000,
 ) -> None:
     """Run the stand-in until it is stopped."""
-    application = Litestar(
-        route_handlers=[append_record, read_records, set_faults, get_counts],
-        state=State({"service": LogService()}),
-        openapi_config=None,
-        logging_config=None,
-    )
     uvicorn.run(
-        application,
+        make_application(StoreService()),
         host=host,
         port=port,
         loop="uvloop",
