Test the path on the platform's protocols, with stand-ins of store and target

Cause: the new parts had no tests of their own. A target that has just shed is left out for a moment: found by test_unsafe_request_that_a_target_rejects_goes_to_another, which failed with 503 at the sixth request since two rejections had used the budget of repeats.

--- a/src/pimentoscale/forwarding/entry.py
+++ b/src/pimentoscale/forwarding/entry.py
@@ -226,7 +226,7 @@
         error = attempt.error
         if error is None:
             return
-        if error.kind in _UNREACHABLE:
+        if error.kind in _AVOIDED:
             view.note_unreachable(now=now)
         log.info(
             "attempt at %s: %s %s %s arrived=%s in_flight=%s",
@@ -298,10 +298,11 @@
         )
 
 
-_UNREACHABLE = (
+_AVOIDED = (
     ErrorKind.PEER_UNREACHABLE,
     ErrorKind.PEER_LOST,
     ErrorKind.UPSTREAM_UNREACHABLE,
+    ErrorKind.UPSTREAM_SHED,
     ErrorKind.NO_TARGET,
     ErrorKind.DRAINING,
 )
--- a/src/pimentoscale/http/server.py
+++ b/src/pimentoscale/http/server.py
@@ -221,6 +221,14 @@
         """Return the connections on which a request is in progress."""
         return sum(connection.is_busy for connection in self.connections)
 
+    @property
+    def port(self) -> int:
+        """Return the port on which it listens."""
+        if self._server is None:
+            return 0
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
     async def start(self, *, host: str, port: int) -> None:
         """Listen; raises `OSError` if the address can't be used."""
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/src/pimentoscale_bench/target.py
@@ -0,0 +1,159 @@
+"""A stand-in for a target that speaks the platform's protocol, in this process."""
+
+import asyncio
+import contextlib
+import json
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from pimentoscale.http import (
+    AnswerBrokenError,
+    HttpClient,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    NotConnectedError,
+)
+from pimentoscale.settings import Address
+
+BEAT_S = 0.2
+
+
+@dataclass(slots=True, kw_only=True)
+class TargetRecord:
+    """What a target has seen: how often each id ran, and the last headers."""
+
+    runs: Counter[str] = field(default_factory=Counter)
+    arrivals: Counter[str] = field(default_factory=Counter)
+    headers: dict[str, dict[str, str]] = field(default_factory=dict)
+    cancelled: set[str] = field(default_factory=set)
+
+
+Behaviour = Callable[[HttpRequest], Awaitable[HttpResponse | None]]
+
+
+class StandInTarget:
+    """Runs requests, announces itself to the node beside it, and keeps a record.
+
+    `behave` may stand in for the run: a response, or None for the usual one.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: str,
+        service: str,
+        zone: str,
+        slots: int,
+        control: Address,
+        behave: Behaviour | None = None,
+    ) -> None:
+        self.identity = identity
+        self.service = service
+        self.zone = zone
+        self.slots = slots
+        self.control = control
+        self.behave = behave
+        self.record = TargetRecord()
+        self.running = 0
+        self.run_s = 0.01
+        self.state = "ready"
+        self.born = 1
+        self._sequence = 0
+        self._server = HttpServer(handler=self._serve, limits=HttpLimits())
+        self._client = HttpClient(address=control, limit=2)
+        self._beats: asyncio.Task[None] | None = None
+        self.address = Address(host="127.0.0.1", port=1)
+
+    async def start(self, address: Address) -> None:
+        """Listen, and announce itself regularly."""
+        self.address = address
+        await self._server.start(host=address.host, port=address.port)
+        self._beats = asyncio.create_task(self._beat())
+
+    async def announce(self) -> int:
+        """Send one announcement and return the status of its acknowledgement."""
+        self._sequence += 1
+        beat = {
+            "service": self.service,
+            "address": str(self.address),
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "cold_remaining_s": 0,
+            "sequence": self._sequence,
+            "born": self.born,
+        }
+        return await self._tell(b"PUT", json.dumps(beat).encode())
+
+    async def leave(self) -> int:
+        """Say that it has gone."""
+        self.stop_beats()
+        return await self._tell(b"DELETE", b"")
+
+    def stop_beats(self) -> None:
+        """Announce nothing any more."""
+        if self._beats is not None:
+            self._beats.cancel()
+
+    def close(self) -> None:
+        """Stop."""
+        self.stop_beats()
+        self._server.close()
+        self._client.close()
+
+    async def _beat(self) -> None:
+        while True:
+            # The node beside it may not be there yet, or not any more.
+            with contextlib.suppress(NotConnectedError, AnswerBrokenError):
+                await self.announce()
+            await asyncio.sleep(BEAT_S)
+
+    async def _tell(self, method: bytes, body: bytes) -> int:
+        loop = asyncio.get_running_loop()
+        request = HttpRequest(
+            method=method,
+            path=b"/v1/instances/" + self.identity.encode(),
+            headers=[(b"host", b"x"), (b"content-type", b"application/json")],
+            body=body,
+        )
+        connection = await self._client.acquire(now=loop.time())
+        try:
+            return (await connection.exchange(request)).status
+        finally:
+            self._client.release(connection, now=loop.time())
+
+    async def _serve(self, request: HttpRequest) -> HttpResponse:
+        identity = (request.find(b"attempt-id") or b"").decode()
+        self.record.arrivals[identity] += 1
+        headers = [(b"attempt-id", identity.encode())]
+        if (request.find(b"expected-instance") or b"").decode() != self.identity:
+            return HttpResponse(status=421, headers=headers)
+        if self.running >= self.slots:
+            rejected = [*headers, (b"not-executed", b"1")]
+            return HttpResponse(status=503, headers=rejected)
+        self.record.runs[identity] += 1
+        self.record.headers[identity] = {
+            name.decode(): value.decode() for name, value in request.headers
+        }
+        self.running += 1
+        try:
+            response = await self.behave(request) if self.behave else None
+            if response is None:
+                await asyncio.sleep(self.run_s)
+                body = b"%b ran %b %b" % (
+                    self.identity.encode(),
+                    request.path,
+                    request.body,
+                )
+                signed = [*headers, (b"response-signature", b"s")]
+                response = HttpResponse(status=200, headers=signed, body=body)
+            return response
+        except asyncio.CancelledError:
+            self.record.cancelled.add(identity)
+            raise
+        finally:
+            self.running -= 1
--- /dev/null
+++ b/tests/sidecars.py
@@ -0,0 +1,226 @@
+"""A small deployment on the platform's protocols, in one process on real sockets."""
+
+import asyncio
+import json
+import random
+import socket
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import uvicorn
+
+from pimentoscale.forwarding.node import Sidecar
+from pimentoscale.forwarding.settings import SidecarSettings
+from pimentoscale.http import HttpClient, HttpRequest, HttpResponse
+from pimentoscale.programs.sidecar import make_sidecar
+from pimentoscale.settings import Address
+from pimentoscale_bench.platform import StoreService, make_application
+from pimentoscale_bench.target import StandInTarget
+
+HOST = "127.0.0.1"
+WAIT_S = 15.0
+POLL_S = 0.02
+CONFIGURATION_TOPIC = "keyed.op"
+HOST_NAME = "h.example"
+
+
+def find_address() -> Address:
+    """Return an address that is free now."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return Address(host=HOST, port=sock.getsockname()[1])
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition; raises `TimeoutError`."""
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(POLL_S)
+
+
+@dataclass(slots=True, kw_only=True)
+class Machine:
+    """A node and the target beside it."""
+
+    settings: SidecarSettings
+    sidecar: Sidecar
+    target: StandInTarget
+
+
+def make_route(name: str, service: str, **changes: Any) -> dict[str, Any]:
+    route: dict[str, Any] = {
+        "name": name,
+        "path_prefix": f"/{name}/",
+        "kind": "safe",
+        "timeout_s": 5,
+        "aim_s": 1,
+        "priority": 1,
+        "max_attempts": 2,
+        "service": service,
+    }
+    route.update(changes)
+    return route
+
+
+@dataclass(slots=True, kw_only=True)
+class Deployment:
+    """A store, machines, and what the operator and clients do."""
+
+    service: StoreService
+    store: Address
+    machines: dict[str, Machine] = field(default_factory=dict)
+    version: int = 0
+    attempts: int = 0
+
+    def configure(self, routes: list[dict[str, Any]], services: list[str]) -> None:
+        """Write a new version to the store."""
+        self.version += 1
+        document = {
+            "version": f"{self.version:08x}",
+            "services": [
+                {"name": name, "health_path": "/health", "max_connections": 50}
+                for name in services
+            ],
+            "limits": {
+                "header_bytes": 16384,
+                "body_bytes": 1_000_000,
+                "header_timeout_s": 3,
+                "idle_timeout_s": 15,
+            },
+            "hosts": [{"host": HOST_NAME, "paths": routes}],
+        }
+        self.write(json.dumps(document).encode())
+
+    def write(self, value: bytes) -> None:
+        """Write any bytes as the configuration."""
+        record = b"\x06config" + value
+        self.service.append(CONFIGURATION_TOPIC, [record], at=None, now=0.0)
+
+    async def start_machine(
+        self, name: str, service: str, *, zone: str = "z1", slots: int = 4
+    ) -> Machine:
+        """Start a node and its target."""
+        settings = SidecarSettings(
+            instance=name,
+            zone=zone,
+            outgoing=find_address(),
+            readiness=find_address(),
+            announcements=find_address(),
+            stream=find_address(),
+            metrics=find_address(),
+            upstream=find_address(),
+            upstream_service=service,
+            store=self.store,
+            heartbeat_s=0.2,
+            stop_grace_s=6.0,
+            retry_ratio=0.2,
+            retry_window_s=10.0,
+            retry_slack=50.0,
+            memory_mb=300,
+        )
+        target = StandInTarget(
+            identity=f"i-{name}",
+            service=service,
+            zone=zone,
+            slots=slots,
+            control=settings.announcements,
+        )
+        sidecar = await self.start_node(settings)
+        await target.start(settings.upstream)
+        machine = Machine(settings=settings, sidecar=sidecar, target=target)
+        self.machines[name] = machine
+        return machine
+
+    async def start_node(self, settings: SidecarSettings) -> Sidecar:
+        """Start a node alone."""
+        now = asyncio.get_running_loop().time()
+        sidecar = make_sidecar(settings, source=random.Random(1), now=now)
+        await sidecar.start()
+        return sidecar
+
+    async def wait_ready(self) -> None:
+        """Wait until every node has the newest version and knows every target."""
+
+        def is_ready() -> bool:
+            return all(
+                machine.sidecar.state.version == self.version
+                and len(machine.sidecar.state.members) == len(self.machines)
+                for machine in self.machines.values()
+            )
+
+        await wait_until(is_ready)
+
+    async def send(
+        self,
+        name: str,
+        path: str,
+        *,
+        method: bytes = b"GET",
+        body: bytes = b"",
+        identity: str = "",
+        remaining_ms: int = 5000,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> HttpResponse:
+        """Send a request to a node and return the answer."""
+        self.attempts += 1
+        address = self.machines[name].settings.outgoing
+        request = HttpRequest(
+            method=method,
+            path=path.encode(),
+            headers=[
+                (b"host", HOST_NAME.encode()),
+                (b"attempt-id", (identity or f"id{self.attempts}").encode()),
+                (b"deadline-remaining-ms", str(remaining_ms).encode()),
+                *headers,
+            ],
+            body=body,
+        )
+        client = HttpClient(address=address, limit=1)
+        connection = await client.acquire(now=asyncio.get_running_loop().time())
+        try:
+            async with asyncio.timeout(WAIT_S):
+                return await connection.exchange(request)
+        finally:
+            connection.close()
+
+    def count_runs(self) -> dict[str, int]:
+        """Return how often each id ran, over all targets."""
+        runs: dict[str, int] = {}
+        for machine in self.machines.values():
+            for identity, count in machine.target.record.runs.items():
+                runs[identity] = runs.get(identity, 0) + count
+        return runs
+
+    def close(self) -> None:
+        """Stop everything."""
+        for machine in self.machines.values():
+            machine.target.close()
+            machine.sidecar.close()
+
+
+@asynccontextmanager
+async def run_deployment() -> AsyncIterator[Deployment]:
+    """Start a store; stop it and all machines in the end."""
+    address = find_address()
+    service = StoreService()
+    config = uvicorn.Config(
+        make_application(service),
+        host=address.host,
+        port=address.port,
+        log_level="warning",
+        lifespan="off",
+        timeout_graceful_shutdown=1,
+    )
+    server = uvicorn.Server(config)
+    serving = asyncio.create_task(server._serve())
+    await wait_until(lambda: server.started)
+    deployment = Deployment(service=service, store=address)
+    try:
+        yield deployment
+    finally:
+        deployment.close()
+        server.should_exit = True
+        server.force_exit = True
+        await serving
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,334 @@
+"""Decisions about forwarded requests, with the time as an argument."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pimentoscale.admission import (
+    Entry,
+    Length,
+    Load,
+    RootLimits,
+    UrgencyAdmission,
+    Verdict,
+    make_limit_law,
+)
+from pimentoscale.errors import ErrorKind
+from pimentoscale.forwarding.origins import IDLE_S, INNER_SIGHTINGS, OriginTracker
+from pimentoscale.forwarding.placement import NodeView, Placement, PlacementRequest
+from pimentoscale.forwarding.retries import LEVELS, RetryBudget
+from pimentoscale.membership import Member, MemberState
+from pimentoscale.membership.upstream import (
+    Admittance,
+    UpstreamAnnouncement,
+    UpstreamRegistration,
+)
+from pimentoscale.routes import ServiceShare, ShareCounter
+from pimentoscale.settings import Address
+
+ADDRESS = Address(host="10.0.0.1", port=80)
+INNER = 10_000
+
+
+def make_entry(
+    *, due: float, deadline: float, importance: int = 1, kind: str = "k"
+) -> Entry:
+    return Entry(
+        request="",
+        caller="",
+        kind=kind,
+        importance=importance,
+        length=Length.SHORT,
+        depth=0,
+        work_ms=0,
+        deadline=deadline,
+        due=due,
+    )
+
+
+def make_admission(slots: int) -> UrgencyAdmission:
+    return UrgencyAdmission(law=make_limit_law(name="fixed", slots=slots, least=1))
+
+
+def train(admission: UrgencyAdmission, *, kind: str, run_s: float) -> None:
+    """Let the admission learn the run time of a kind."""
+    for _ in range(100):
+        entry = make_entry(due=1e9, deadline=1e9, kind=kind)
+        assert admission.offer(entry, now=0.0).verdict is Verdict.START
+        admission.release(entry, is_overload=False, now=run_s)
+
+
+def make_announcement(
+    *,
+    identity: str = "i-1",
+    started_ms: int = 100,
+    sequence: int = 1,
+    is_leaving: bool = False,
+    address: Address = ADDRESS,
+) -> UpstreamAnnouncement:
+    return UpstreamAnnouncement(
+        identity=identity,
+        service="s",
+        address=address,
+        zone="z",
+        slots=4,
+        is_leaving=is_leaving,
+        slow_for_s=0.0,
+        started_ms=started_ms,
+        sequence=sequence,
+    )
+
+
+def make_view(
+    name: str, *, zone: str = "a", slots: int = 10, is_own: bool = False
+) -> NodeView:
+    member = Member(
+        instance=name,
+        incarnation=1,
+        sequence=0,
+        state=MemberState.ALIVE,
+        zone=zone,
+        service="s",
+        slots=slots,
+        http=ADDRESS,
+        stream=ADDRESS,
+    )
+    return NodeView(member=member, is_own=is_own)
+
+
+def make_placement() -> tuple[Placement, PlacementRequest]:
+    request = PlacementRequest(route="r", zone="a", objective_s=1.0)
+    return Placement(source=random.Random(1)), request
+
+
+def test_waiting_requests_start_in_the_order_in_which_they_are_due() -> None:
+    admission = make_admission(1)
+    running = make_entry(due=5.0, deadline=9.0)
+    admission.offer(running, now=0.0)
+    late = make_entry(due=3.0, deadline=9.0, importance=INNER)
+    soon = make_entry(due=1.0, deadline=9.0)
+    for entry in (late, soon):
+        assert admission.offer(entry, now=0.0).verdict is Verdict.WAIT
+    freed = admission.release(running, is_overload=False, now=0.1)
+    assert freed.started == [soon]
+
+
+def test_call_of_a_target_displaces_a_caller_that_is_due_before_it() -> None:
+    admission = make_admission(1)
+    train(admission, kind="k", run_s=0.1)
+    running = make_entry(due=1.0, deadline=9.0)
+    admission.offer(running, now=1.0)
+    callers = [make_entry(due=1.1, deadline=9.0) for _ in range(5)]
+    for entry in callers:
+        admission.offer(entry, now=1.0)
+    inner = make_entry(due=1.3, deadline=1.45, importance=INNER)
+    decision = admission.offer(inner, now=1.0)
+    assert decision.verdict is Verdict.WAIT
+    assert {item.error.kind for item in decision.displaced} == {ErrorKind.DISPLACED}
+    assert all(item.entry in callers for item in decision.displaced)
+
+
+def test_caller_never_displaces_the_call_of_a_target() -> None:
+    admission = make_admission(1)
+    train(admission, kind="k", run_s=0.1)
+    admission.offer(make_entry(due=1.0, deadline=9.0), now=1.0)
+    for _ in range(5):
+        inner = make_entry(due=1.1, deadline=9.0, importance=INNER)
+        admission.offer(inner, now=1.0)
+    caller = make_entry(due=1.3, deadline=1.4, importance=999)
+    decision = admission.offer(caller, now=1.0)
+    assert decision.verdict is Verdict.REFUSE
+    assert decision.displaced == []
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(0, 1), st.floats(0.05, 2), st.integers(0, 3), st.booleans()
+        ),
+        max_size=60,
+    )
+)
+def test_every_request_is_either_started_refused_or_waiting(
+    arrivals: list[tuple[float, float, int, bool]],
+) -> None:
+    admission = make_admission(2)
+    running: list[Entry] = []
+    given_up = 0
+    now = 0.0
+    for gap_s, patience_s, importance, ends in arrivals:
+        now += gap_s / 10
+        entry = make_entry(
+            due=now + patience_s / 2, deadline=now + patience_s, importance=importance
+        )
+        decision = admission.offer(entry, now=now)
+        given_up += len(decision.displaced) + (decision.verdict is Verdict.REFUSE)
+        if decision.verdict is Verdict.START:
+            running.append(entry)
+        if ends and running:
+            freed = admission.release(running.pop(0), is_overload=False, now=now)
+            running.extend(freed.started)
+            given_up += len(freed.expired)
+        assert len(running) == admission.running <= 2
+    ended = len(arrivals) - given_up - admission.running - admission.queued
+    assert ended >= 0
+
+
+def test_route_is_cut_when_its_answers_get_late_and_grows_again() -> None:
+    limits = RootLimits(most=100)
+    now = 0.0
+    for _ in range(400):
+        limits.try_start("r", importance=1)
+        now += 0.02
+        limits.observe("r", elapsed_s=2.0, objective_s=1.0, failed=False, now=now)
+    cut = limits.get_limit("r")
+    assert cut is not None
+    assert cut < 200
+    for _ in range(2000):
+        now += 0.02
+        limits.observe("r", elapsed_s=0.1, objective_s=1.0, failed=False, now=now)
+    grown = limits.get_limit("r")
+    assert grown is not None
+    assert grown > cut
+
+
+def test_less_important_route_is_cut_first() -> None:
+    limits = RootLimits(most=100)
+    now = 0.0
+    for _ in range(200):
+        now += 0.02
+        for route, importance in (("low", 1), ("high", 9)):
+            limits.try_start(route, importance=importance)
+            limits.observe(route, elapsed_s=0.7, objective_s=1.0, failed=False, now=now)
+    low, high = limits.get_limit("low"), limits.get_limit("high")
+    assert low is not None and high is not None
+    assert low < high == 200
+
+
+def test_route_that_only_targets_use_is_found_out() -> None:
+    origins = OriginTracker()
+    for connection in (1, 2):
+        origins.note(connection=connection, route="root", target_idle_s=2 * IDLE_S)
+    for _ in range(INNER_SIGHTINGS):
+        origins.note(connection=3, route="inner", target_idle_s=0.0)
+        origins.note(connection=1, route="root", target_idle_s=0.0)
+        origins.note(connection=1, route="other", target_idle_s=0.0)
+    assert [origins.is_inner(name) for name in ("root", "other", "inner")] == [
+        False,
+        False,
+        True,
+    ]
+
+
+def test_own_zone_goes_first_while_it_is_quick_enough() -> None:
+    placement, request = make_placement()
+    near, far = make_view("near"), make_view("far", zone="b")
+    near.note_load(Load(in_flight=12, limit=10, queue_ms=50, admitted=0), now=1.0)
+    assert placement.choose([near, far], request, tried=(), now=1.0) is near
+    near.note_load(Load(in_flight=90, limit=10, queue_ms=900, admitted=0), now=1.0)
+    assert placement.choose([near, far], request, tried=(), now=1.0) is far
+
+
+def test_slow_target_is_left_and_tried_again_later() -> None:
+    placement, request = make_placement()
+    slow, quick = make_view("slow"), make_view("quick")
+    for view, run_ms in ((slow, 500.0), (quick, 20.0)):
+        for _ in range(20):
+            view.note_run(route="r", run_ms=run_ms, now=1.0)
+            placement.usual.note(route="r", run_ms=20.0)
+    assert placement.choose([slow, quick], request, tried=(), now=1.0) is quick
+    chosen = {
+        placement.choose([slow, quick], request, tried=(), now=60.0).member.instance  # type: ignore[union-attr]
+        for _ in range(50)
+    }
+    assert chosen == {"slow", "quick"}
+
+
+def test_unreachable_and_tried_nodes_are_left_out() -> None:
+    placement, request = make_placement()
+    lost, tried, last = make_view("lost"), make_view("tried"), make_view("last")
+    lost.note_unreachable(now=1.0)
+    views = [lost, tried, last]
+    assert placement.choose(views, request, tried={"tried"}, now=1.0) is last
+    assert placement.choose([lost], request, tried=(), now=1.0) is None
+    assert placement.choose([lost], request, tried=(), now=9.0) is lost
+
+
+def test_node_that_stops_is_used_only_where_there_is_no_other() -> None:
+    placement, request = make_placement()
+    stopping, far = make_view("stopping"), make_view("far", zone="b")
+    stopping.is_stopping = True
+    assert placement.choose([stopping, far], request, tried=(), now=1.0) is far
+    assert placement.choose([stopping], request, tried=(), now=1.0) is stopping
+
+
+@given(st.integers(1, 500), st.integers(1, 2000))
+def test_repeats_keep_to_their_part_of_the_ratio(requests: int, asked: int) -> None:
+    budget = RetryBudget(ratio=0.2, slack=2.0, window_s=10.0)
+    for index in range(requests):
+        budget.note_request(now=index * 0.001)
+    allowed = sum(budget.try_repeat(now=1.0) for _ in range(asked))
+    assert allowed <= 0.2 / LEVELS * requests + 2.0
+
+
+def test_budget_is_renewed_as_the_window_slides() -> None:
+    budget = RetryBudget(ratio=0.2, slack=1.0, window_s=10.0)
+    assert budget.try_repeat(now=0.0)
+    assert not budget.try_repeat(now=5.0)
+    assert budget.try_repeat(now=10.5)
+
+
+def test_later_announcement_goes_before_an_earlier_one() -> None:
+    registration = UpstreamRegistration(address=ADDRESS)
+    new = make_announcement(identity="i-2", started_ms=200)
+    old = make_announcement(sequence=99)
+    assert registration.apply(new, now=0.0) is Admittance.NEWS
+    assert registration.apply(old, now=0.0) is Admittance.STALE
+    assert registration.current == new
+
+
+def test_upstream_that_leaves_takes_no_work_again_under_the_same_start() -> None:
+    registration = UpstreamRegistration(address=ADDRESS)
+    registration.apply(make_announcement(), now=0.0)
+    registration.apply(make_announcement(sequence=2, is_leaving=True), now=0.0)
+    registration.apply(make_announcement(sequence=3), now=0.0)
+    assert not registration.takes_work
+    registration.apply(make_announcement(started_ms=300), now=0.0)
+    assert registration.takes_work
+
+
+def test_late_announcement_of_one_that_has_gone_names_no_target() -> None:
+    registration = UpstreamRegistration(address=ADDRESS)
+    registration.apply(make_announcement(), now=0.0)
+    assert registration.end(identity="i-1")
+    late = make_announcement(sequence=2)
+    assert registration.apply(late, now=0.0) is Admittance.STALE
+    assert not registration.takes_work
+
+
+def test_announcement_of_another_address_changes_nothing() -> None:
+    registration = UpstreamRegistration(address=ADDRESS)
+    foreign = make_announcement(address=Address(host="10.0.0.2", port=80))
+    assert registration.apply(foreign, now=0.0) is Admittance.FOREIGN
+    assert registration.current is None
+
+
+@pytest.mark.parametrize("phase", [0.0, 0.3, 0.99])
+@given(
+    weights=st.lists(st.integers(1, 100), min_size=1, max_size=5),
+    count=st.integers(1, 300),
+)
+def test_each_service_gets_its_share(
+    phase: float, weights: list[int], count: int
+) -> None:
+    shares = [
+        ServiceShare(service=str(index), weight=weight)
+        for index, weight in enumerate(weights)
+    ]
+    counter = ShareCounter(shares=shares, phase=phase)
+    chosen = [counter.choose() for _ in range(count)]
+    for share in shares:
+        expected = count * share.weight / sum(weights)
+        assert abs(chosen.count(share.service) - expected) < 2.0
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,292 @@
+"""The HTTP server and client with whole messages, on real sockets."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from pimentoscale.http import (
+    AnswerBrokenError,
+    HttpClient,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    NotConnectedError,
+)
+from pimentoscale.settings import Address
+
+HOST = "127.0.0.1"
+TIMEOUT_S = 5.0
+
+RawHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def find_port(server: asyncio.Server) -> int:
+    port: int = server.sockets[0].getsockname()[1]
+    return port
+
+
+async def start_raw(handler: RawHandler) -> tuple[asyncio.Server, HttpClient]:
+    """Start a server that writes what a test wants, and a client of it."""
+    server = await asyncio.start_server(handler, HOST, 0)
+    address = Address(host=HOST, port=find_port(server))
+    return server, HttpClient(address=address, limit=4)
+
+
+async def read_head(reader: asyncio.StreamReader) -> bytes:
+    return await reader.readuntil(b"\r\n\r\n")
+
+
+def make_request(identity: bytes = b"a") -> HttpRequest:
+    return HttpRequest(method=b"GET", path=b"/x", headers=[(b"id", identity)])
+
+
+async def echo(request: HttpRequest) -> HttpResponse:
+    return HttpResponse(status=200, body=request.path + b" " + request.body)
+
+
+async def exchange_bytes(server: HttpServer, data: bytes) -> bytes:
+    """Send bytes to a server and return what it answers until it closes."""
+    reader, writer = await asyncio.open_connection(HOST, server.port)
+    writer.write(data)
+    async with asyncio.timeout(TIMEOUT_S):
+        answer = await reader.read()
+    writer.close()
+    return answer
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"no http at all\r\n\r\n", b"400"),
+        (b"GET /x HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 5000 + b"\r\n\r\n", b"431"),
+        (
+            b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 90000\r\n\r\n"
+            + b"z" * 3000,
+            b"413",
+        ),
+        (
+            b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n"
+            b"content-length: 4\r\n\r\nabcd",
+            b"400",
+        ),
+        (
+            b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n"
+            b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+    ],
+)
+def test_malformed_request_is_answered_and_the_connection_closed(
+    data: bytes, status: bytes
+) -> None:
+    async def run() -> bytes:
+        limits = HttpLimits(header_bytes=4096, body_bytes=2048)
+        server = HttpServer(handler=echo, limits=limits)
+        await server.start(host=HOST, port=0)
+        try:
+            return await exchange_bytes(server, data)
+        finally:
+            server.close()
+
+    answer = asyncio.run(run())
+    assert answer.startswith(b"HTTP/1.1 " + status)
+
+
+def test_chunked_and_counted_bodies_arrive_whole_on_one_connection() -> None:
+    async def run() -> bytes:
+        server = HttpServer(handler=echo, limits=HttpLimits())
+        await server.start(host=HOST, port=0)
+        data = (
+            b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n\r\nabc"
+            b"POST /b HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n"
+            b"connection: close\r\n\r\n2\r\nde\r\n1\r\nf\r\n0\r\n\r\n"
+        )
+        try:
+            return await exchange_bytes(server, data)
+        finally:
+            server.close()
+
+    answer = asyncio.run(run())
+    assert b"/a abc" in answer
+    assert b"/b def" in answer
+
+
+def test_handler_is_cancelled_when_the_client_leaves() -> None:
+    async def run() -> bool:
+        started, cancelled = asyncio.Event(), asyncio.Event()
+
+        async def wait_forever(request: HttpRequest) -> HttpResponse:
+            started.set()
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+            return HttpResponse(status=200)
+
+        server = HttpServer(handler=wait_forever, limits=HttpLimits())
+        await server.start(host=HOST, port=0)
+        _, writer = await asyncio.open_connection(HOST, server.port)
+        writer.write(b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n")
+        async with asyncio.timeout(TIMEOUT_S):
+            await started.wait()
+            writer.close()
+            await cancelled.wait()
+        server.close()
+        return cancelled.is_set()
+
+    assert asyncio.run(run())
+
+
+WHOLE = b"HTTP/1.1 200 OK\r\nid: a\r\ncontent-length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nid: a\r\ncontent-length: 5\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nid: a\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n",
+        b"rubbish\r\n\r\n",
+        b"",
+    ],
+)
+def test_answer_that_is_not_whole_breaks_the_exchange(answer: bytes) -> None:
+    async def write(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_head(reader)
+        writer.write(answer)
+        writer.close()
+
+    async def run() -> None:
+        server, client = await start_raw(write)
+        connection = await client.acquire(now=0.0)
+        with pytest.raises(AnswerBrokenError):
+            async with asyncio.timeout(TIMEOUT_S):
+                await connection.exchange(make_request())
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_answer_without_length_is_whole_at_the_end_of_its_connection() -> None:
+    async def write(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nid: a\r\n\r\npart")
+        await writer.drain()
+        writer.write(b" and rest")
+        writer.close()
+
+    async def run() -> HttpResponse:
+        server, client = await start_raw(write)
+        connection = await client.acquire(now=0.0)
+        async with asyncio.timeout(TIMEOUT_S):
+            response = await connection.exchange(make_request())
+        server.close()
+        return response
+
+    assert asyncio.run(run()).body == b"part and rest"
+
+
+def test_answer_without_length_that_is_reset_is_not_whole() -> None:
+    async def write(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nid: a\r\n\r\npart")
+        await writer.drain()
+        # With this option the close sends a reset.
+        linger = struct.pack("ii", 1, 0)
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+    async def run() -> None:
+        server, client = await start_raw(write)
+        connection = await client.acquire(now=0.0)
+        with pytest.raises(AnswerBrokenError):
+            async with asyncio.timeout(TIMEOUT_S):
+                await connection.exchange(make_request())
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_extra_answer_is_never_given_to_the_next_request() -> None:
+    extra = b"HTTP/1.1 200 OK\r\nid: a\r\ncontent-length: 5\r\n\r\nextra"
+    own = b"HTTP/1.1 200 OK\r\nid: b\r\ncontent-length: 3\r\n\r\nown"
+
+    async def write(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_head(reader)
+        writer.write(WHOLE)
+        await read_head(reader)
+        writer.write(extra + own)
+
+    async def run() -> tuple[HttpResponse, HttpResponse, bool]:
+        loop = asyncio.get_running_loop()
+        server, client = await start_raw(write)
+        connection = await client.acquire(now=loop.time())
+        async with asyncio.timeout(TIMEOUT_S):
+            first = await connection.exchange(make_request())
+            second = await connection.exchange(
+                make_request(b"b"), accepts=lambda item: item.find(b"id") == b"b"
+            )
+        usable = connection.is_usable(now=loop.time())
+        server.close()
+        return first, second, usable
+
+    first, second, usable = asyncio.run(run())
+    assert first.body == b"ok"
+    assert second.body == b"own"
+    assert not usable
+
+
+def test_bytes_after_a_whole_answer_end_the_connection() -> None:
+    async def write(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_head(reader)
+        writer.write(WHOLE + b"HTTP/1.1 200 OK\r\n")
+
+    async def run() -> bool:
+        loop = asyncio.get_running_loop()
+        server, client = await start_raw(write)
+        connection = await client.acquire(now=loop.time())
+        async with asyncio.timeout(TIMEOUT_S):
+            await connection.exchange(make_request())
+        usable = connection.is_usable(now=loop.time())
+        server.close()
+        return usable
+
+    assert not asyncio.run(run())
+
+
+def test_closed_address_is_told_apart_from_a_lost_answer() -> None:
+    async def run() -> None:
+        server = await asyncio.start_server(lambda r, w: None, HOST, 0)
+        port = find_port(server)
+        server.close()
+        await server.wait_closed()
+        client = HttpClient(address=Address(host=HOST, port=port), limit=1)
+        with pytest.raises(NotConnectedError):
+            await client.acquire(now=0.0)
+
+    asyncio.run(run())
+
+
+def test_idle_connection_is_not_used_again_after_its_stated_time() -> None:
+    async def write(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_head(reader)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=3\r\ncontent-length: 0\r\n\r\n"
+        )
+
+    async def run() -> tuple[bool, bool]:
+        loop = asyncio.get_running_loop()
+        server, client = await start_raw(write)
+        connection = await client.acquire(now=loop.time())
+        async with asyncio.timeout(TIMEOUT_S):
+            await connection.exchange(make_request())
+        now = loop.time()
+        server.close()
+        return connection.is_usable(now=now + 1), connection.is_usable(now=now + 2.5)
+
+    assert asyncio.run(run()) == (True, False)
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,277 @@
+"""Nodes, targets, store and clients on the platform's protocols, end to end."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+from pimentoscale.forwarding.exchange import ForwardRequest
+from pimentoscale.http import HttpRequest, HttpResponse
+from tests.sidecars import (
+    Deployment,
+    Machine,
+    make_route,
+    run_deployment,
+    wait_until,
+)
+
+SERVICES = ["a", "b"]
+ROUTES = [
+    make_route("ra", "a"),
+    make_route("rb", "b"),
+    make_route("once", "b", kind="unsafe"),
+]
+
+Scenario = Callable[[Deployment], Awaitable[None]]
+
+
+def play(scenario: Scenario, *, machines: int = 3) -> None:
+    """Run a scenario on a deployment: m1 beside `a`, the others beside `b`."""
+
+    async def run() -> None:
+        async with run_deployment() as deployment:
+            deployment.configure(ROUTES, SERVICES)
+            await deployment.start_machine("m1", "a")
+            for index in range(2, machines + 1):
+                await deployment.start_machine(f"m{index}", "b")
+            await deployment.wait_ready()
+            await scenario(deployment)
+
+    asyncio.run(run())
+
+
+def list_b(deployment: Deployment) -> list[Machine]:
+    return [deployment.machines[name] for name in ("m2", "m3")]
+
+
+def test_request_reaches_a_target_of_its_route_and_its_answer_comes_back() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        response = await deployment.send(
+            "m1",
+            "/rb/x?y=1",
+            method=b"POST",
+            body=b"data",
+            identity="one",
+            headers=((b"caller-service", b"forged"), (b"x-own", b"kept")),
+        )
+        assert response.status == 200
+        assert response.body.endswith(b"ran /rb/x?y=1 data")
+        assert response.find(b"response-signature") == b"s"
+        seen = [m for m in list_b(deployment) if m.target.record.runs["one"]]
+        assert len(seen) == 1
+        headers = seen[0].target.record.headers["one"]
+        assert headers["caller-service"] == "a"
+        assert headers["x-own"] == "kept"
+        assert 0 < int(headers["deadline-remaining-ms"]) <= 5000
+        assert headers["expected-instance"] == seen[0].target.identity
+
+    play(scenario)
+
+
+def test_request_without_route_is_404_and_without_configuration_503() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        assert (await deployment.send("m1", "/none/x")).status == 404
+        machine = deployment.machines["m1"]
+        table = machine.sidecar.state.table
+        machine.sidecar.state.table = None
+        response = await deployment.send("m1", "/rb/x")
+        machine.sidecar.state.table = table
+        assert response.status == 503
+        assert response.find(b"retry-after") is not None
+
+    play(scenario)
+
+
+def test_unsafe_request_is_never_handed_over_again_after_a_lost_answer() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        async def lose(request: HttpRequest) -> HttpResponse | None:
+            raise ConnectionAbortedError
+
+        for machine in list_b(deployment):
+            machine.target.behave = break_off
+        response = await deployment.send(
+            "m1", "/once/x", method=b"POST", identity="one"
+        )
+        assert response.status in (502, 504)
+        assert deployment.count_runs()["one"] == 1
+
+    play(scenario)
+
+
+async def break_off(request: HttpRequest) -> HttpResponse | None:
+    """Answer without proof that the answer is the target's."""
+    return HttpResponse(status=200, body=b"not signed")
+
+
+def test_unsafe_request_that_a_target_rejects_goes_to_another() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        full, free = list_b(deployment)
+        full.target.running = full.target.slots
+        statuses = [
+            (await deployment.send("m1", "/once/x", identity=f"u{index}")).status
+            for index in range(6)
+        ]
+        assert statuses == [200] * 6
+        assert free.target.record.runs.total() == 6
+        full.target.running = 0
+
+    play(scenario)
+
+
+def test_refusal_is_only_given_if_nothing_ran() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        for machine in list_b(deployment):
+            machine.target.run_s = 0.4
+        sent = [
+            deployment.send("m1", "/once/x", identity=f"u{index}", remaining_ms=700)
+            for index in range(60)
+        ]
+        responses = await asyncio.gather(*sent)
+        runs = deployment.count_runs()
+        for index, response in enumerate(responses):
+            if response.status in (429, 503):
+                assert runs.get(f"u{index}", 0) == 0
+                assert response.find(b"retry-after") is not None
+            assert runs.get(f"u{index}", 0) <= 1
+        assert any(response.status == 503 for response in responses)
+        assert any(response.status == 200 for response in responses)
+
+    play(scenario)
+
+
+def test_target_that_leaves_gets_nothing_after_its_acknowledgement() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        leaving, staying = list_b(deployment)
+        stop = asyncio.Event()
+
+        async def load() -> None:
+            while not stop.is_set():
+                response = await deployment.send("m1", "/rb/x")
+                assert response.status == 200
+
+        tasks = [asyncio.create_task(load()) for _ in range(4)]
+        await wait_until(lambda: leaving.target.record.runs.total() > 10)
+        leaving.target.state = "draining"
+        assert await leaving.target.announce() == 200
+        before = leaving.target.record.arrivals.total()
+        mark = staying.target.record.runs.total()
+        await wait_until(lambda: staying.target.record.runs.total() > mark + 20)
+        assert leaving.target.record.arrivals.total() == before
+        assert await leaving.target.leave() == 200
+        stop.set()
+        await asyncio.gather(*tasks)
+
+    play(scenario)
+
+
+def test_client_that_leaves_ends_the_work_of_the_target() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        for machine in list_b(deployment):
+            machine.target.run_s = 30.0
+        sending = asyncio.create_task(deployment.send("m1", "/rb/x", identity="left"))
+        await wait_until(lambda: deployment.count_runs().get("left") == 1)
+        sending.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await sending
+        await wait_until(
+            lambda: any(
+                "left" in machine.target.record.cancelled
+                for machine in list_b(deployment)
+            )
+        )
+
+    play(scenario)
+
+
+def test_answer_comes_at_the_time_out_of_the_route() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.configure([make_route("rb", "b", timeout_s=0.3)], SERVICES)
+        await deployment.wait_ready()
+        for machine in list_b(deployment):
+            machine.target.run_s = 30.0
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        response = await deployment.send("m1", "/rb/x")
+        assert response.status == 504
+        assert 0.25 < loop.time() - started < 0.8
+
+    play(scenario)
+
+
+def test_newest_valid_version_is_kept_and_reaches_every_node() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.configure([make_route("new", "b")], SERVICES)
+        deployment.write(b"not a configuration")
+        newest = deployment.version
+        deployment.version = 0
+        deployment.configure([make_route("old", "b")], SERVICES)
+        deployment.version = newest
+        await deployment.wait_ready()
+        assert (await deployment.send("m2", "/new/x")).status == 200
+        assert (await deployment.send("m2", "/old/x")).status == 404
+
+    play(scenario)
+
+
+def test_node_that_the_store_turns_away_gets_the_version_from_a_peer() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        machine = deployment.machines["m1"]
+        machine.sidecar._watchers.clear()
+        for task in list(machine.sidecar._tasks):
+            if "TopicWatcher" in repr(task.get_coro()):
+                task.cancel()
+        deployment.configure([make_route("new", "b")], SERVICES)
+        await deployment.wait_ready()
+
+    play(scenario)
+
+
+def test_store_that_is_down_stops_nothing_and_is_followed_again() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.service.faults.is_down = True
+        assert (await deployment.send("m1", "/rb/x")).status == 200
+        deployment.configure([make_route("new", "b")], SERVICES)
+        deployment.service.forget()
+        deployment.service.faults.is_down = False
+        await deployment.wait_ready()
+        assert (await deployment.send("m1", "/new/x")).status == 200
+
+    play(scenario)
+
+
+def test_node_that_stops_finishes_what_is_in_progress() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        for machine in list_b(deployment):
+            machine.target.run_s = 1.0
+        sending = asyncio.create_task(deployment.send("m2", "/rb/x"))
+        await wait_until(lambda: deployment.count_runs() != {})
+        deployment.machines["m2"].sidecar.stop()
+        assert (await sending).status == 200
+        await deployment.machines["m2"].sidecar.wait_stopped()
+
+    play(scenario)
+
+
+def test_stale_request_of_another_service_is_not_run() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        machine = deployment.machines["m2"]
+        loop = asyncio.get_running_loop()
+        request = ForwardRequest(
+            identity="x",
+            service="a",
+            route="r",
+            idempotent=True,
+            importance=1,
+            is_inner=False,
+            deadline=loop.time() + 1,
+            objective_s=1.0,
+            message=HttpRequest(
+                method=b"GET", path=b"/", headers=[(b"attempt-id", b"x")]
+            ),
+        )
+        attempt = await machine.sidecar.target.run(request)
+        assert attempt.fate.value == "not_run"
+        attempt = await machine.sidecar.target.run(replace(request, service="b"))
+        assert attempt.fate.value == "answered"
+
+    play(scenario)
