Log one line for each answered request, with what decided it

Cause: an answered request left no trace in the logs. Change: one line at the entry node: status, nodes tried, route, times, version. Measured: tests/test_sidecar.py passes.

--- a/src/pimentoscale/forwarding/entry.py
+++ b/src/pimentoscale/forwarding/entry.py
@@ -158,7 +158,7 @@
             )
             if view is None or now >= forward.deadline:
                 break
-            tried.nodes.add(view.member.instance)
+            tried.nodes.append(view.member.instance)
             attempt = await self._try(view, forward)
             self._learn(view, forward, attempt, now=loop.time())
             tried.last = attempt
@@ -261,6 +261,20 @@
         attempt = tried.last
         if attempt is not None and attempt.response is not None:
             self._state.metrics.count("answers", str(attempt.response.status))
+            log.info(
+                "answered %d: at=%s route=%s inner=%s run_ms=%.0f total_ms=%.0f "
+                "left_ms=%.0f offers=%d version=%d",
+                attempt.response.status,
+                ",".join(tried.nodes),
+                forward.route,
+                forward.is_inner,
+                attempt.run_ms,
+                (now - started) * 1000,
+                (forward.deadline - now) * 1000,
+                len(tried.nodes),
+                self._state.version,
+                request=forward.identity,
+            )
             return attempt.response
         error = attempt.error if attempt is not None else None
         if error is None:
--- a/src/pimentoscale/forwarding/exchange.py
+++ b/src/pimentoscale/forwarding/exchange.py
@@ -108,7 +108,7 @@
 class Tried:
     """What the attempts at one request have come to so far."""
 
-    nodes: set[str] = field(default_factory=set)
+    nodes: list[str] = field(default_factory=list)
     arrivals: int = 0
     may_have_run: bool = False
     last: Attempt | None = None
