Weigh bytes when leaving the zone; trace a request through collected logs

Change: the penalty of another zone grows with the usual bytes of the route; 'pimento trace ID FILE...' prints a request's lines; log lines that wait are bounded.

--- a/src/pimentoscale/forwarding/entry.py
+++ b/src/pimentoscale/forwarding/entry.py
@@ -41,6 +41,8 @@
 RETRY_AFTER_S = 0.3
 RETRY_SPREAD = 0.5
 REFUSED_STATUS = 503
+# Bytes of the heads of a request or an answer, roughly.
+HEAD_BYTES = 200
 FIRST_FAILURE = 500
 # The share of the slack of repeats that one node may take by itself.
 SLACK_SHARE = 0.04
@@ -221,7 +223,12 @@
             view.note_load(attempt.load, now=now)
         if attempt.fate is Fate.ANSWERED:
             view.note_run(route=forward.route, run_ms=attempt.run_ms, now=now)
-            self._placement.usual.note(route=forward.route, run_ms=attempt.run_ms)
+            size = len(forward.message.body) + HEAD_BYTES
+            if attempt.response is not None:
+                size += len(attempt.response.body) + HEAD_BYTES
+            self._placement.usual.note(
+                route=forward.route, run_ms=attempt.run_ms, size=size
+            )
             return
         error = attempt.error
         if error is None:
--- a/src/pimentoscale/forwarding/placement.py
+++ b/src/pimentoscale/forwarding/placement.py
@@ -3,7 +3,7 @@
 Answers these loads: targets of one service that differ in speed, a target that slows
 down, a zone whose targets are full while another's have room. The own zone goes first,
 since bytes between zones cost; it is left only when the answer would come later there
-by more than a part of the request's objective.
+by more than a part of the request's objective, a larger part the more bytes it moves.
 """
 
 import math
@@ -14,14 +14,17 @@
 from pimentoscale.admission import Load
 from pimentoscale.membership import Member
 
-# A node in another zone must be quicker by this part of the request's objective.
-ZONE_PENALTY_SHARE = 0.3
+# A node in another zone must be quicker by this part of the request's objective, and
+# by the whole objective more for so many bytes of the request and its answer.
+ZONE_PENALTY_SHARE = 0.2
+ZONE_BYTES_PER_OBJECTIVE = 10_000.0
 # A report of load is worth half after this time.
 LOAD_HALF_LIFE_S = 0.5
 # What is known of a target's run times fades to the usual time in this half-life, so
 # that a target which was slow is tried again.
 RUN_HALF_LIFE_S = 3.0
 RUN_SMOOTHING = 0.2
+USUAL_SMOOTHING = 0.05
 # After a failed connection a target is left out for this time, doubled up to the
 # greatest while it goes on.
 AVOID_MIN_S = 0.1
@@ -93,17 +96,24 @@
 
 
 class UsualRuns:
-    """The usual run time of each route, over all targets."""
+    """The usual run time and bytes of each route, over all targets."""
 
-    __slots__ = ("_runs",)
+    __slots__ = ("_bytes", "_runs")
 
     def __init__(self) -> None:
         self._runs: dict[str, float] = {}
+        self._bytes: dict[str, float] = {}
 
-    def note(self, *, route: str, run_ms: float) -> None:
-        """Learn from one answer."""
+    def note(self, *, route: str, run_ms: float, size: int = 0) -> None:
+        """Learn from one answer; `size` is in bytes, of request and answer."""
         known = self._runs.get(route, run_ms)
-        self._runs[route] = known + 0.05 * (run_ms - known)
+        self._runs[route] = known + USUAL_SMOOTHING * (run_ms - known)
+        moved = self._bytes.get(route, float(size))
+        self._bytes[route] = moved + USUAL_SMOOTHING * (size - moved)
+
+    def get_bytes(self, *, route: str) -> float:
+        """Return the usual bytes of a request and its answer."""
+        return self._bytes.get(route, 0.0)
 
     def get(self, *, route: str) -> float:
         """Return the usual time in milliseconds."""
@@ -168,7 +178,9 @@
             queue_ms = max(queue_ms, view.load.queue_ms * fade)
         penalty_ms = 0.0
         if view.member.zone != request.zone:
-            penalty_ms = 1000 * ZONE_PENALTY_SHARE * request.objective_s
+            moved = self.usual.get_bytes(route=request.route)
+            share = ZONE_PENALTY_SHARE + moved / ZONE_BYTES_PER_OBJECTIVE
+            penalty_ms = 1000 * share * request.objective_s
         if view.is_stopping:
             penalty_ms += STOPPING_PENALTY_MS
         return run_ms + queue_ms + penalty_ms
--- a/src/pimentoscale/logs.py
+++ b/src/pimentoscale/logs.py
@@ -68,7 +68,7 @@
     root.setLevel(settings.level)
 
 
-class _BoundedHandler(logging.Handler):
+class BoundedHandler(logging.Handler):
     """Keeps lines in memory and writes them in batches, without ever blocking."""
 
     def __init__(self) -> None:
@@ -91,6 +91,10 @@
         self._allowance -= 1
         self._lines.append(self.format(record).encode() + b"\n")
 
+    def count_waiting(self) -> int:
+        """Return the lines that wait to be written."""
+        return len(self._lines)
+
     def write_out(self) -> None:
         """Write what waits, as far as standard output takes it."""
         if self._dropped:
@@ -99,8 +103,10 @@
             self._dropped = 0
         if not self._lines and not self._rest:
             return
-        data = self._rest + b"".join(self._lines)
-        self._lines.clear()
+        data = self._rest
+        if not data:
+            data = b"".join(self._lines)
+            self._lines.clear()
         try:
             written = os.write(STANDARD_OUTPUT, data)
         except BlockingIOError:
@@ -111,7 +117,7 @@
         self._rest = data[written:]
 
 
-async def _write_out_regularly(handler: _BoundedHandler) -> None:
+async def _write_out_regularly(handler: BoundedHandler) -> None:
     try:
         while True:
             await asyncio.sleep(FLUSH_PERIOD_S)
@@ -123,7 +129,7 @@
 def configure_structured_logs() -> "asyncio.Task[None]":
     """Write log lines as JSON to standard output, bounded and without blocking."""
     os.set_blocking(STANDARD_OUTPUT, False)
-    handler = _BoundedHandler()
+    handler = BoundedHandler()
     handler.setFormatter(_JsonFormatter())
     root = logging.getLogger()
     root.handlers = [handler]
--- /dev/null
+++ b/src/pimentoscale/programs/explain.py
@@ -0,0 +1,56 @@
+"""Finds what the collected logs say of one request."""
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+
+# Marks where a line of a collector's file turns into the node's own line.
+JSON_START = "{"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LogLine:
+    """One line of a node's log; `origin` is what the collector wrote before it."""
+
+    time: str
+    part: str
+    request: str
+    message: str
+    origin: str
+
+
+def parse_line(text: str) -> LogLine | None:
+    """Return the line, or None if it is not one of a node's."""
+    start = text.find(JSON_START)
+    if start < 0:
+        return None
+    try:
+        fields = json.loads(text[start:])
+    except json.JSONDecodeError:
+        return None
+    if not isinstance(fields, dict) or "message" not in fields:
+        return None
+    return LogLine(
+        time=str(fields.get("time", "")),
+        part=str(fields.get("part", "")),
+        request=str(fields.get("request") or ""),
+        message=str(fields["message"]),
+        origin=text[:start].strip(),
+    )
+
+
+def find_lines(*, request: str, paths: list[Path]) -> list[LogLine]:
+    """Return a request's lines of all files, in order of time.
+
+    Raises `OSError` for a file that can't be read.
+    """
+    found: list[LogLine] = []
+    for path in paths:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            for text in file:
+                if request not in text:
+                    continue
+                line = parse_line(text)
+                if line is not None and line.request == request:
+                    found.append(line)
+    return sorted(found, key=lambda line: line.time)
--- a/src/pimentoscale/programs/operator.py
+++ b/src/pimentoscale/programs/operator.py
@@ -22,6 +22,7 @@
 
 from pimentoscale.configuration import Patch, Rejection, read_patch
 from pimentoscale.programs.client import NodeClient, find_events
+from pimentoscale.programs.explain import find_lines
 from pimentoscale.programs.picture import draw_events
 from pimentoscale.serving.patches import (
     IN_FORCE,
@@ -65,6 +66,21 @@
 console = Console() if sys.stdout.isatty() else Console(width=WIDTH_COLUMNS)
 
 
+@app.command
+def trace(request: str, logs: list[Path], /) -> None:
+    """Print what collected log files say of one request, in order of time."""
+    try:
+        lines = find_lines(request=request, paths=logs)
+    except OSError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_BAD_FILE)
+    for line in lines:
+        print(f"{line.time} {line.origin} {line.message}".strip())
+    if not lines:
+        print(f"no line names request {request}", file=sys.stderr)
+        sys.exit(EXIT_BAD_FILE)
+
+
 @config.command
 def show(*, node: Node, json: Json = False) -> None:
     """Print the version in force and its content."""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -231,6 +231,17 @@
     assert placement.choose([near, far], request, tried=(), now=1.0) is far
 
 
+def test_request_with_many_bytes_stays_in_its_zone_for_longer() -> None:
+    placement, request = make_placement()
+    near, far = make_view("near"), make_view("far", zone="b")
+    near.note_load(Load(in_flight=30, limit=10, queue_ms=500, admitted=0), now=1.0)
+    placement.usual.note(route="r", run_ms=20.0, size=400)
+    assert placement.choose([near, far], request, tried=(), now=1.0) is far
+    for _ in range(100):
+        placement.usual.note(route="r", run_ms=20.0, size=9000)
+    assert placement.choose([near, far], request, tried=(), now=1.0) is near
+
+
 def test_slow_target_is_left_and_tried_again_later() -> None:
     placement, request = make_placement()
     slow, quick = make_view("slow"), make_view("quick")
