--- a/src/pimentoscale/logs.py
+++ b/src/pimentoscale/logs.py
@@ -97,7 +97,7 @@
 
     def write_out(self) -> None:
         """Write what waits, as far as standard output takes it."""
-        if self._dropped:
+        if self._dropped and not self._rest:
             line = {"part": "logs", "message": f"lines dropped: {self._dropped}"}
             self._lines.append(json.dumps(line).encode() + b"\n")
             self._dropped = 0
