--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -18,6 +18,7 @@
     bytes: st.binary(max_size=50),
     bool: st.booleans(),
     list[bytes]: st.lists(st.binary(max_size=9), max_size=3),
+    list[str]: st.lists(st.text(max_size=9), max_size=3),
     list[list[bytes]]: st.lists(
         st.lists(st.binary(max_size=9), min_size=2, max_size=2), max_size=3
     ),
