Keep a target's slots when it sheds part of its work; repeat more at the last level

One refused ledger call in five fails its index. Ruled out: 503 of our own queue (2181 of 27000 calls of that route). Change: the limit keeps three quarters of the declared slots; repeats at a target that calls nobody may use 0.55 of the shared ratio, those of three levels above 0.15 each. Test: test_target_that_fails_part_of_its_work_keeps_its_slots (limit 2 before).

--- a/src/pimentoscale/forwarding/entry.py
+++ b/src/pimentoscale/forwarding/entry.py
@@ -192,7 +192,9 @@
             return False
         if not attempt.arrived:
             return True
-        return tried.arrivals < route.max_targets and budget.try_repeat(now=now)
+        if tried.arrivals >= route.max_targets:
+            return False
+        return budget.try_repeat(calls_others=attempt.calls_others, now=now)
 
     async def _try(self, view: NodeView, forward: ForwardRequest) -> Attempt:
         view.out += 1
--- a/src/pimentoscale/forwarding/exchange.py
+++ b/src/pimentoscale/forwarding/exchange.py
@@ -81,7 +81,8 @@
     """The outcome of one attempt.
 
     `arrived` tells that a target has received it, even if it did not run it;
-    `run_ms` is the time that the target took.
+    `run_ms` is the time that the target took; `calls_others` tells that its runs may
+    cause calls of other services.
     """
 
     fate: Fate
@@ -90,6 +91,7 @@
     error: CallError | None = None
     load: Load | None = None
     run_ms: float = 0.0
+    calls_others: bool = True
 
     @classmethod
     def of_error(
--- a/src/pimentoscale/forwarding/frames.py
+++ b/src/pimentoscale/forwarding/frames.py
@@ -62,6 +62,7 @@
         detail=error.detail if error else "",
         retry_after_ms=error.retry_after_ms if error else 0,
         run_ms=int(attempt.run_ms),
+        calls_others=attempt.calls_others,
         status=response.status if response else 0,
         headers=[list(item) for item in response.headers] if response else [],
         body=response.body if response else b"",
@@ -105,6 +106,7 @@
         error=error,
         load=load if frame.limit else None,
         run_ms=float(frame.run_ms),
+        calls_others=frame.calls_others,
     )
 
 
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -131,6 +131,7 @@
         self.links.on_version = self.routes.note_peer_version
         self.links.on_draining = self._note_stopping
         self._outgoing.on_closed = self.entry.origins.forget
+        self.target.makes_calls = self.entry.origins.has_inner
         self.entry.origins.on_found = self._tell_callers_route
         self.links.on_routes_found = self.entry.origins.add_callers_routes
         self.receiver.list_callers_routes = self.entry.origins.list_callers_routes
--- a/src/pimentoscale/forwarding/origins.py
+++ b/src/pimentoscale/forwarding/origins.py
@@ -78,6 +78,10 @@
             return False
         return self._sightings.get(route, 0) >= INNER_SIGHTINGS
 
+    def has_inner(self) -> bool:
+        """Tell whether the own target may have made calls."""
+        return any(route not in self._callers_routes for route in self._sightings)
+
     def is_returning(self, route: str, *, remaining_s: float) -> bool:
         """Tell whether a caller has been here before, by the time that it has left."""
         longest_s = max(self._longest_s.get(route, 0.0), remaining_s)
--- a/src/pimentoscale/forwarding/retries.py
+++ b/src/pimentoscale/forwarding/retries.py
@@ -8,8 +8,11 @@
 
 from collections import deque
 
-# A chain of calls is some levels deep, and each may repeat: ratio / LEVELS for each.
-LEVELS = 4
+# A repeat causes repeats of all calls below it, and a chain has some levels, so each
+# level that causes calls gets this part of the ratio; three of them and the last one,
+# which causes none, keep to the whole.
+INNER_SHARE = 0.15
+LAST_SHARE = 0.55
 
 
 class RetryBudget:
@@ -18,7 +21,7 @@
     __slots__ = ("_ratio", "_repeats", "_requests", "_slack", "_window_s")
 
     def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
-        self._ratio = ratio / LEVELS
+        self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
         self._requests: deque[float] = deque()
@@ -29,10 +32,11 @@
         self._requests.append(now)
         self._forget(now)
 
-    def try_repeat(self, *, now: float) -> bool:
+    def try_repeat(self, *, calls_others: bool, now: float) -> bool:
         """Return True and count a repeat if the budget has room for it."""
         self._forget(now)
-        allowed = self._ratio * len(self._requests) + self._slack
+        share = INNER_SHARE if calls_others else LAST_SHARE
+        allowed = self._ratio * share * len(self._requests) + self._slack
         if len(self._repeats) + 1 > allowed:
             return False
         self._repeats.append(now)
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -44,10 +44,14 @@
 DEFAULT_CONNECTIONS = 128
 # When a caller whose route is at its limit may come back, as a part of its objective.
 ROOT_RETRY_SHARE = 0.5
-LEAST_LIMIT = 2
+# Only this node sends to the target, so one that sheds below its own slots is not full:
+# it fails part of its work. The limit is cut to this part of the slots at most.
+LEAST_LIMIT_SHARE = 0.75
 # A request is due after this part of the time that its sender still waits.
 DUE_SHARE = 0.5
 FIRST_FAILURE = 500
+# A target that has called nobody after so many runs is the end of its trees of calls.
+LEAF_RUNS = 200
 CONNECTIONS_SPARE = 2
 
 log = get_logger("target")
@@ -83,6 +87,8 @@
         self._client = HttpClient(address=settings.upstream, limit=DEFAULT_CONNECTIONS)
         self.registration = UpstreamRegistration(address=settings.upstream)
         self.in_progress = 0
+        self._runs = 0
+        self.makes_calls: Callable[[], bool] = lambda: True
         self.on_news: Callable[[], None] | None = None
 
     def announce(self, announcement: UpstreamAnnouncement, *, now: float) -> Admittance:
@@ -197,6 +203,7 @@
             self.on_news()
 
     def _report(self, attempt: Attempt) -> Attempt:
+        attempt.calls_others = self._runs < LEAF_RUNS or self.makes_calls()
         attempt.load = self.report_load(now=asyncio.get_running_loop().time())
         return attempt
 
@@ -277,6 +284,7 @@
         if remaining_ms <= 0:
             return Attempt.of_error(ErrorKind.DEADLINE_BEFORE_RUN)
         message = self._make_message(request, current.identity, remaining_ms)
+        self._runs += 1
         try:
             async with asyncio.timeout_at(request.deadline + TARGET_DEADLINE_GRACE_S):
                 response = await connection.exchange(
@@ -337,7 +345,8 @@
 
 
 def _make_law(slots: int) -> LimitLaw:
-    return make_limit_law(name=LIMIT_LAW, slots=slots, least=LEAST_LIMIT)
+    least = max(1, int(slots * LEAST_LIMIT_SHARE))
+    return make_limit_law(name=LIMIT_LAW, slots=slots, least=least)
 
 
 def _find_due(request: ForwardRequest, *, now: float) -> float:
--- a/src/pimentoscale/stream/frames.py
+++ b/src/pimentoscale/stream/frames.py
@@ -262,6 +262,7 @@
 class Forwarded(Frame):
     """What has become of a forwarded request; `status` is 0 without an answer.
 
+    `calls_others` tells that a run of the target may cause calls of other services.
     `in_flight`, `limit`, `queue_ms` and `admitted` are the target's load.
     """
 
@@ -272,6 +273,7 @@
     detail: str
     retry_after_ms: int
     run_ms: int
+    calls_others: bool
     status: int
     headers: list[list[bytes]]
     body: bytes
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -295,3 +295,22 @@
         assert staying.target.record.runs.total() == 6
 
     play(scenario)
+
+
+def test_target_that_fails_part_of_its_work_keeps_its_slots() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        async def shed(request: HttpRequest) -> HttpResponse | None:
+            identity = request.find(b"attempt-id") or b""
+            headers = [(b"attempt-id", identity), (b"not-executed", b"1")]
+            return HttpResponse(status=503, headers=headers)
+
+        for machine in list_b(deployment):
+            machine.target.behave = shed
+        for index in range(30):
+            await deployment.send("m2", "/rb/x", identity=f"s{index}")
+        now = asyncio.get_running_loop().time()
+        for machine in list_b(deployment):
+            # Four slots, of which three quarters stay at least.
+            assert machine.sidecar.target.report_load(now=now).limit >= 3
+
+    play(scenario)
