Hand frames over in the loop turn in which they arrive

Change: a stream connection is a protocol; frames go to their taker at once. Nodes beside targets send heartbeats every 1.0 s instead of 0.5 s; the time-out stays 2.0 s.

--- a/src/pimentoscale/forwarding/links.py
+++ b/src/pimentoscale/forwarding/links.py
@@ -20,6 +20,8 @@
 # How long a request waits for a stream that is being opened; a connect and a greeting
 # take two round trips.
 CONNECT_WAIT_S = 0.3
+# Half of the time after which a silent stream is closed.
+HEARTBEAT_PERIOD_S = 1.0
 # Streams to other zones are closed when unused for so long: heartbeats cost bytes.
 IDLE_CLOSE_S = 10.0
 MAX_AGE_MS = 86_400_000
@@ -159,7 +161,12 @@
         self._used_at[name] = now
         peer = self._peers.get(name)
         if peer is None:
-            peer = Peer(address=member.stream, hello=self._state.greet, observer=self)
+            peer = Peer(
+                address=member.stream,
+                hello=self._state.greet,
+                observer=self,
+                heartbeat_period_s=HEARTBEAT_PERIOD_S,
+            )
             self._peers[name] = peer
             self._up[name] = asyncio.Event()
             peer.start()
--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from pimentoscale.errors import ErrorKind
 from pimentoscale.forwarding.exchange import Attempt
@@ -21,6 +22,7 @@
     Heartbeat,
     Hello,
     Leaving,
+    Listener,
     RoutesCopy,
 )
 from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
@@ -52,7 +54,7 @@
         self._target = target
         self._links = links
         self._sessions: set[_Session] = set()
-        self._server: asyncio.Server | None = None
+        self._listener = Listener(accept=self._accept)
         self.is_refusing = False
         self.list_callers_routes: Callable[[], list[str]] = list
 
@@ -64,9 +66,7 @@
     async def start(self) -> None:
         """Listen for streams."""
         address = self._state.settings.stream
-        self._server = await asyncio.start_server(
-            self._accept, address.host, address.port, backlog=BACKLOG
-        )
+        await self._listener.start(address, backlog=BACKLOG)
 
     def announce_leaving(self) -> None:
         """Tell every connected node that this one is about to stop."""
@@ -93,15 +93,11 @@
 
     def close(self) -> None:
         """Close all streams."""
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         for session in list(self._sessions):
             session.connection.close()
 
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        connection = Connection(reader=reader, writer=writer)
+    async def _accept(self, connection: Connection) -> None:
         session: _Session | None = None
         try:
             remote = await connection.greet(hello=self._state.greet())
@@ -110,8 +106,7 @@
             routes = self.list_callers_routes()
             if routes:
                 connection.send(CallersRoutes(routes=routes))
-            async for frame in connection.receive():
-                self._take(session, frame)
+            await connection.run(partial(self._take, session))
         except FrameError as error:
             log.warning("stream closed: %s", error)
         except (OSError, TimeoutError) as error:
--- a/src/pimentoscale/serving/acceptor.py
+++ b/src/pimentoscale/serving/acceptor.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from pimentoscale.call import Answer, Body, BodyBrokenError
 from pimentoscale.call.body import CHUNK_BYTES
@@ -32,6 +33,7 @@
     Heartbeat,
     Hello,
     Leaving,
+    Listener,
     RecordIntent,
     ResolveTicket,
     Slow,
@@ -86,7 +88,7 @@
         self._witnesses = witnesses
         self._pauses = pauses
         self._sessions: set[_Session] = set()
-        self._server: asyncio.Server | None = None
+        self._listener = Listener(accept=self._accept)
         self.on_fetch: Callable[[Connection, Hello, FetchRecords], None] | None = None
         self.on_announcements: Callable[[Announcements, Connection], None] | None = None
         self.on_heard: Callable[[Connection, Hello, Heartbeat], None] | None = None
@@ -101,9 +103,7 @@
     async def start(self) -> None:
         """Listen for streams."""
         address = self._state.settings.stream
-        self._server = await asyncio.start_server(
-            self._accept, address.host, address.port, backlog=BACKLOG
-        )
+        await self._listener.start(address, backlog=BACKLOG)
 
     def announce_leaving(self) -> None:
         """Tell every connected node that no new work is taken."""
@@ -132,22 +132,17 @@
 
     def close(self) -> None:
         """Close all streams."""
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         for session in self._sessions:
             session.connection.close()
 
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        connection = Connection(reader=reader, writer=writer)
+    async def _accept(self, connection: Connection) -> None:
         session: _Session | None = None
         try:
             remote = await connection.greet(hello=self._peers.greet())
             session = _Session(connection=connection, remote=remote)
             self._sessions.add(session)
-            async for frame in connection.receive():
-                self._take(session, frame)
+            await connection.run(partial(self._take, session))
         except FrameError as error:
             self.bad_streams += 1
             log.warning("stream closed: %s", error)
--- a/src/pimentoscale/stream/__init__.py
+++ b/src/pimentoscale/stream/__init__.py
@@ -1,7 +1,7 @@
 """Streams of msgpack frames between nodes."""
 
 from pimentoscale.stream.codec import FrameError, decode_frame, encode_frame
-from pimentoscale.stream.connection import Connection
+from pimentoscale.stream.connection import Connection, Listener, connect
 from pimentoscale.stream.frames import (
     Announcements,
     Call,
@@ -44,6 +44,7 @@
     "Heartbeat",
     "Hello",
     "Leaving",
+    "Listener",
     "Peer",
     "PeerLostError",
     "PeerUnreachableError",
@@ -54,6 +55,7 @@
     "RoutesCopy",
     "Slow",
     "Verdict",
+    "connect",
     "decode_frame",
     "encode_frame",
 ]
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -10,7 +10,7 @@
 from pimentoscale.logs import get_logger
 from pimentoscale.settings import Address
 from pimentoscale.stream.codec import FrameError
-from pimentoscale.stream.connection import Connection
+from pimentoscale.stream.connection import Connection, connect
 from pimentoscale.stream.frames import (
     Announcements,
     Call,
@@ -101,11 +101,13 @@
         address: Address,
         hello: Callable[[], Hello],
         observer: PeerObserver,
+        heartbeat_period_s: float = HEARTBEAT_PERIOD_S,
     ) -> None:
         self.address = address
         self.dropped_frames = 0
         self._hello = hello
         self._observer = observer
+        self._heartbeat_period_s = heartbeat_period_s
         self._connection: Connection | None = None
         self._numbers = itertools.count(1)
         self._calls: dict[int, _PendingCall] = {}
@@ -225,17 +227,17 @@
             delay = min(RECONNECT_MAX_S, 2 * delay)
 
     async def _run_connection(self) -> None:
-        connect = asyncio.open_connection(self.address.host, self.address.port)
-        reader, writer = await asyncio.wait_for(connect, CONNECT_TIMEOUT_S)
-        connection = Connection(reader=reader, writer=writer)
+        opening = connect(self.address)
+        connection = await asyncio.wait_for(opening, CONNECT_TIMEOUT_S)
         try:
             remote = await connection.greet(hello=self._hello())
             self._connection = connection
             self._observer.on_up(remote=remote, peer=self)
             async with asyncio.TaskGroup() as tasks:
                 heartbeat = tasks.create_task(self._beat(connection))
-                async for frame in connection.receive():
-                    self._take(connection, remote, frame)
+                await connection.run(
+                    lambda frame: self._take(connection, remote, frame)
+                )
                 heartbeat.cancel()
         except BaseExceptionGroup as group:
             raise OSError(str(group.exceptions[0])) from group
@@ -249,7 +251,7 @@
         while True:
             connection.send(self._observer.describe())
             before = loop.time()
-            await asyncio.sleep(HEARTBEAT_PERIOD_S)
+            await asyncio.sleep(self._heartbeat_period_s)
             now = loop.time()
             if now - before > HEARTBEAT_TIMEOUT_S:
                 # This process was paused; the silence was its own.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,7 +14,7 @@
 from pimentoscale.serving.peers import IDLE_CLOSE_S, Lane, PeerBook
 from pimentoscale.serving.state import make_own_member
 from pimentoscale.settings import Address, NodeSettings
-from pimentoscale.stream import Connection, PeerUnreachableError
+from pimentoscale.stream import Connection, Listener, PeerUnreachableError
 from tests.test_settings import make_document
 
 HOST = "127.251.1.1"
@@ -43,17 +43,14 @@
         book = make_book()
         hello = book.greet()
 
-        async def greet(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            connection = Connection(reader=reader, writer=writer)
+        async def greet(connection: Connection) -> None:
             await connection.greet(hello=hello)
-            async for _ in connection.receive():
-                connection.send(book.describe())
+            await connection.run(lambda _: connection.send(book.describe()))
             connection.close()
 
-        server = await asyncio.start_server(greet, HOST, 0)
-        port = server.sockets[0].getsockname()[1]
+        server = Listener(accept=greet)
+        await server.start(Address(host=HOST, port=0), backlog=8)
+        port = server.port
         member = make_member(book, port, hello.incarnation)
         step: Coroutine[Any, Any, None] = check(book, member)
         try:
