Refuse callers that still send to a node about to end

Ruled out: the drain of other nodes' work (none was in progress). Change: from 3.0 s after SIGTERM on callers get 503 with Retry-After; calls of the own target are still taken. Test: test_node_about_to_end_refuses_callers_that_still_send.

--- a/src/pimentoscale/forwarding/entry.py
+++ b/src/pimentoscale/forwarding/entry.py
@@ -106,6 +106,9 @@
             now=now,
         )
         forward = self._make_forward(request, terms, route, now)
+        if self._state.refuses_callers and not forward.is_inner:
+            error = CallError(kind=ErrorKind.DRAINING, detail="the node stops")
+            return self._answer_error(error, forward.identity, forward.route)
         tried = await self._run(forward, route)
         return self._finish(forward, tried, now)
 
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -32,6 +32,9 @@
 MEMBERS_PAUSE_S = 0.5
 # Callers are moved away after two questions, a second apart, without a yes.
 CALLERS_MOVE_S = 2.6
+# From here on callers that were not moved away are refused: what they ask for might not
+# end within the grace.
+REFUSE_CALLERS_S = 3.0
 # From here on each answer closes its connection.
 CLOSE_GRADUALLY_S = 2.2
 # Until here the target beside the node is used as before, since the way to others may
@@ -266,6 +269,8 @@
                 self._note_stopping(self.state.settings.instance, True)
             if elapsed_s >= REFUSE_OTHERS_S:
                 self.receiver.is_refusing = True
+            if elapsed_s >= REFUSE_CALLERS_S:
+                self.state.refuses_callers = True
             if elapsed_s >= CLOSE_GRADUALLY_S:
                 self._outgoing.close_gradually()
             busy = self.entry.in_progress + self.target.in_progress
--- a/src/pimentoscale/forwarding/state.py
+++ b/src/pimentoscale/forwarding/state.py
@@ -16,7 +16,9 @@
 
     `record` is the newest record of the routes as it stands in the store, kept for
     peers that can't read it there. `table_at` is when it came into force. A node that
-    is stopping takes no new callers; once it is leaving, no work of other nodes either.
+    is stopping takes no new callers; once it is leaving, no work of other nodes either;
+    in the end it refuses callers that still send to it, while there is no time to
+    finish their requests.
     """
 
     settings: SidecarSettings
@@ -28,6 +30,7 @@
     members: dict[str, Member] = field(default_factory=dict)
     is_stopping: bool = False
     is_leaving: bool = False
+    refuses_callers: bool = False
 
     @property
     def version(self) -> int:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -314,3 +314,23 @@
             assert machine.sidecar.target.report_load(now=now).limit >= 3
 
     play(scenario)
+
+
+def test_node_about_to_end_refuses_callers_that_still_send() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        for machine in list_b(deployment):
+            machine.target.run_s = 20.0
+        # Something in progress keeps the node until the end of its grace.
+        lasting = asyncio.create_task(deployment.send("m2", "/rb/x"))
+        await wait_until(lambda: deployment.count_runs() != {})
+        state = deployment.machines["m2"].sidecar.state
+        deployment.machines["m2"].sidecar.stop()
+        await wait_until(lambda: state.refuses_callers)
+        before = deployment.count_runs()
+        response = await deployment.send("m2", "/rb/x")
+        assert response.status == 503
+        assert response.find(b"retry-after") is not None
+        assert deployment.count_runs() == before
+        lasting.cancel()
+
+    play(scenario)
