Keep callers' routes in the store; rank routes over all targets

Ruled out: slow return of members (known 1 s after the start). Change: found routes are records in the members' topic; a route's rank is among all routes that callers use; the least important is cut at a fifth of bad answers, the most important at three fifths.

--- a/src/pimentoscale/admission/roots.py
+++ b/src/pimentoscale/admission/roots.py
@@ -10,12 +10,15 @@
 from dataclasses import dataclass
 
 # Part of the objective within which an answer is good, for the least and the most
-# important route of the target.
+# important of all routes that callers use.
 GOOD_SHARE_LEAST = 0.8
 GOOD_SHARE_MOST = 1.0
-# The limit is cut above the one share of bad answers and grows below the other.
-BAD_SHARE_CUT = 0.25
-BAD_SHARE_GROW = 0.1
+# The limit is cut above this share of bad answers, for the least and the most important
+# route: what is less important makes room first, also at other targets. It grows again
+# below a part of that share.
+BAD_SHARE_LEAST = 0.2
+BAD_SHARE_MOST = 0.6
+GROW_PART = 0.4
 BAD_SMOOTHING = 0.05
 CUT_RATIO = 0.85
 # One cut for each such time, in seconds: a change shows in the answers only after that.
@@ -31,7 +34,6 @@
 @dataclass(slots=True, kw_only=True)
 class _RouteLimit:
     limit: float
-    importance: int
     running: int = 0
     bad_share: float = 0.0
     cut_at: float = 0.0
@@ -50,15 +52,12 @@
         """Take over how many requests the target takes at once."""
         self._most = float(most)
 
-    def try_start(
-        self, route: str, *, importance: int, is_returning: bool = False
-    ) -> bool:
+    def try_start(self, route: str, *, is_returning: bool = False) -> bool:
         """Count one more request; return False if the route has no room."""
         known = self._routes.get(route)
         if known is None:
-            known = _RouteLimit(limit=self._most * HEADROOM, importance=importance)
+            known = _RouteLimit(limit=self._most * HEADROOM)
             self._routes[route] = known
-        known.importance = importance
         room = known.limit * (RETURNING_ROOM if is_returning else 1.0)
         if known.running >= room:
             return False
@@ -76,21 +75,26 @@
         elapsed_s: float,
         objective_s: float,
         failed: bool,
+        rank: float,
         now: float,
     ) -> None:
-        """Learn from an answer of the target."""
+        """Learn from an answer of the target.
+
+        `rank` is 0 for the least and 1 for the most important of callers' routes.
+        """
         known = self._routes.get(route)
         if known is None:
             return
-        good_s = objective_s * self._get_good_share(known)
+        good_s = objective_s * _interpolate(GOOD_SHARE_LEAST, GOOD_SHARE_MOST, rank)
+        cut_share = _interpolate(BAD_SHARE_LEAST, BAD_SHARE_MOST, rank)
         is_bad = failed or elapsed_s > good_s
         known.bad_share += BAD_SMOOTHING * (is_bad - known.bad_share)
-        if known.bad_share > BAD_SHARE_CUT:
+        if known.bad_share > cut_share:
             if is_bad and now - known.cut_at >= CUT_PAUSE_S:
                 base = min(known.limit, known.running + 1.0)
                 known.limit = max(LEAST_LIMIT, base * CUT_RATIO)
                 known.cut_at = now
-        elif known.bad_share < BAD_SHARE_GROW:
+        elif known.bad_share < GROW_PART * cut_share:
             most = min(self._most * HEADROOM, HEADROOM * known.running + LEAST_LIMIT)
             if known.limit < most:
                 known.limit = min(most, known.limit + GROWTH_PER_ANSWER)
@@ -100,10 +104,6 @@
         known = self._routes.get(route)
         return known.limit if known else None
 
-    def _get_good_share(self, route: _RouteLimit) -> float:
-        importances = {item.importance for item in self._routes.values()}
-        least, most = min(importances), max(importances)
-        if least == most:
-            return GOOD_SHARE_LEAST
-        part = (route.importance - least) / (most - least)
-        return GOOD_SHARE_LEAST + part * (GOOD_SHARE_MOST - GOOD_SHARE_LEAST)
+
+def _interpolate(least: float, most: float, rank: float) -> float:
+    return least + (most - least) * rank
--- a/src/pimentoscale/forwarding/entry.py
+++ b/src/pimentoscale/forwarding/entry.py
@@ -75,6 +75,8 @@
         self._splits: dict[str, ShareCounter] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self.origins = OriginTracker(now=now)
+        self._importances = (0, 0)
+        self._importances_of = (0, 0)
         self.in_progress = 0
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -146,6 +148,24 @@
             counter.set_shares(route.shares)
         return counter.choose()
 
+    def find_rank(self, importance: int) -> float:
+        """Return where an importance stands among those of callers' routes, 0 to 1."""
+        least, most = self._find_importances()
+        if least == most:
+            return 0.0
+        return min(1.0, max(0.0, (importance - least) / (most - least)))
+
+    def _find_importances(self) -> tuple[int, int]:
+        """Return the least and the greatest importance of callers' routes."""
+        table = self._state.table
+        names = self.origins.list_callers_routes()
+        known = (self._state.version, len(names))
+        if table is not None and self._importances_of != known:
+            found = [item.importance for item in table.routes if item.name in names]
+            self._importances = (min(found, default=0), max(found, default=0))
+            self._importances_of = known
+        return self._importances
+
     async def _run(self, forward: ForwardRequest, route: Route) -> Tried:
         """Offer the request to nodes until one has answered or no more may be tried."""
         loop = asyncio.get_running_loop()
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -134,8 +134,10 @@
         self.links.on_version = self.routes.note_peer_version
         self.links.on_draining = self._note_stopping
         self._outgoing.on_closed = self.entry.origins.forget
+        self.target.find_rank = self.entry.find_rank
         self.target.makes_calls = self.entry.origins.has_inner
         self.entry.origins.on_found = self._tell_callers_route
+        self.registry.on_callers_route = self._add_callers_route
         self.links.on_routes_found = self.entry.origins.add_callers_routes
         self.receiver.list_callers_routes = self.entry.origins.list_callers_routes
 
@@ -197,6 +199,10 @@
     def _tell_callers_route(self, route: str) -> None:
         log.info("route %s is used by callers", route)
         self.links.send_callers_routes([route])
+        self._spawn(self.registry.store_route(route))
+
+    def _add_callers_route(self, route: str) -> None:
+        self.entry.origins.add_callers_routes([route])
 
     async def _tell_ready(self, request: HttpRequest) -> HttpResponse:
         is_ready = self.state.table is not None and not self.state.is_stopping
--- a/src/pimentoscale/forwarding/registry.py
+++ b/src/pimentoscale/forwarding/registry.py
@@ -1,7 +1,12 @@
-"""Members as they announce themselves in the store, and this node's own record."""
+"""What nodes share in the store: members' records, and the routes that callers use.
+
+The routes are kept there since a node that starts amid heavy load could not find them
+out: its target never rests.
+"""
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from result import Err, Ok
 
@@ -18,9 +23,16 @@
 )
 from pimentoscale.store import KeyedRecord, RecordStore, StoreError
 
+# A key's length stands in one byte.
+MAX_KEY_BYTES = 255
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 1.0
 
+# Keys of routes begin so; a member's key is the name of its instance.
+ROUTE_KEY_PREFIX = b"callers-route/"
+# Nodes find out a route at the same time; the first to write it spares the others that.
+ROUTE_DELAY_S = 1.0
+
 log = get_logger("members")
 
 
@@ -49,11 +61,16 @@
         self._views = views
         self._source = source
         self._changed = asyncio.Event()
+        self._stored_routes: set[str] = set()
+        self.on_callers_route: Callable[[str], None] | None = None
         target.on_news = self._note_news
 
     def take_record(self, record: KeyedRecord) -> None:
         """Take in one member's record."""
         now = asyncio.get_running_loop().time()
+        if record.key.startswith(ROUTE_KEY_PREFIX):
+            self._take_route(record.key.removeprefix(ROUTE_KEY_PREFIX))
+            return
         if not record.value:
             self._remove(record.key.decode("utf-8", "replace"))
             return
@@ -72,6 +89,20 @@
             if member is not None and not await self._try_put(member):
                 self._changed.set()
 
+    async def store_route(self, route: str) -> None:
+        """Write that callers use a route, unless another node has done so."""
+        await asyncio.sleep(self._source.uniform(0, ROUTE_DELAY_S))
+        if route in self._stored_routes:
+            return
+        key = ROUTE_KEY_PREFIX + route.encode()
+        if len(key) > MAX_KEY_BYTES:
+            return
+        try:
+            await self._store.put(topic=self._topic, key=key, value=b"1")
+        except StoreError as error:
+            # The other nodes know it by their streams; only a start would miss it.
+            log.info("route %s not written: %s", route, error)
+
     def make_own(self) -> Member | None:
         """Return this node's record; None before the upstream was ever heard."""
         settings = self._state.settings
@@ -115,6 +146,12 @@
                 log.info("own record written: state=%s", member.state.value)
                 return True
 
+    def _take_route(self, key: bytes) -> None:
+        route = key.decode("utf-8", "replace")
+        self._stored_routes.add(route)
+        if self.on_callers_route is not None:
+            self.on_callers_route(route)
+
     def _note_news(self) -> None:
         now = asyncio.get_running_loop().time()
         member = self.make_own()
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -88,6 +88,7 @@
         self.registration = UpstreamRegistration(address=settings.upstream)
         self.in_progress = 0
         self._runs = 0
+        self.find_rank: Callable[[int], float] = lambda importance: 0.0
         self.makes_calls: Callable[[], bool] = lambda: True
         self.on_news: Callable[[], None] | None = None
 
@@ -141,7 +142,6 @@
             return self._report(await self._run_admitted(request))
         if not self._roots.try_start(
             request.route,
-            importance=request.importance,
             is_returning=request.is_returning,
         ):
             error = CallError(
@@ -190,6 +190,7 @@
             elapsed_s=now - started,
             objective_s=request.objective_s,
             failed=response is None or response.status >= FIRST_FAILURE,
+            rank=self.find_rank(request.importance),
             now=now,
         )
 
--- a/src/pimentoscale_bench/platform.py
+++ b/src/pimentoscale_bench/platform.py
@@ -117,6 +117,10 @@
         ]
         return {"items": items, "has_more": False, "end_offset": partition.end}
 
+    def list_keys(self, topic: str) -> list[bytes]:
+        """Return the keys of a keyed topic."""
+        return sorted(self._topics[topic].newest)
+
     def get_first(self, topic: str) -> int:
         """Return the first offset that is kept."""
         return self._topics[topic].first
