Wait for slots in one place

Cause: forwarding/target.py and serving/runner.py had the same five functions around an admission's decisions. Change: admission/slots.py; both use it.

--- a/src/pimentoscale/admission/__init__.py
+++ b/src/pimentoscale/admission/__init__.py
@@ -4,6 +4,7 @@
 from pimentoscale.admission.laws import LimitLaw, Sample, make_limit_law
 from pimentoscale.admission.roots import RootLimits
 from pimentoscale.admission.shares import Length
+from pimentoscale.admission.slots import Slot, SlotWaiters
 from pimentoscale.admission.urgency import UrgencyAdmission
 from pimentoscale.admission.waiting import Entry
 
@@ -17,6 +18,8 @@
     "Load",
     "RootLimits",
     "Sample",
+    "Slot",
+    "SlotWaiters",
     "UrgencyAdmission",
     "Verdict",
     "make_limit_law",
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -5,11 +5,12 @@
 
 from pimentoscale.admission import (
     Entry,
-    Freed,
     Length,
     LimitLaw,
     Load,
     RootLimits,
+    Slot,
+    SlotWaiters,
     UrgencyAdmission,
     Verdict,
     make_limit_law,
@@ -57,17 +58,6 @@
 log = get_logger("target")
 
 
-class _Waiting:
-    """A request that waits for a slot."""
-
-    __slots__ = ("entry", "granted", "is_held")
-
-    def __init__(self, *, entry: Entry) -> None:
-        self.entry = entry
-        self.granted: asyncio.Future[CallError | None] | None = None
-        self.is_held = False
-
-
 class OwnTarget:
     """Admits requests to the upstream beside this node and hands them over.
 
@@ -79,9 +69,9 @@
         self, *, settings: SidecarSettings, messages: Messages, now: float
     ) -> None:
         self._messages = messages
-        self._waiting: dict[int, _Waiting] = {}
         self._slots = 0
         self._admission = UrgencyAdmission(law=_make_law(1))
+        self._waiters = SlotWaiters(admission=self._admission)
         self._roots = RootLimits(most=1)
         self._idle_since = now
         self._client = HttpClient(address=settings.upstream, limit=DEFAULT_CONNECTIONS)
@@ -164,18 +154,18 @@
 
     async def _run_admitted(self, request: ForwardRequest) -> Attempt:
         """Wait for a slot, then hand the request over."""
-        waiting = _Waiting(entry=_make_entry(request))
+        slot = Slot(entry=_make_entry(request))
         self.in_progress += 1
         is_overload = False
         try:
-            error = await self._enter(waiting)
+            error = await self._enter(slot)
             if error is not None:
                 return Attempt(fate=Fate.NOT_RUN, error=error)
             attempt = await self._hand_over(request)
             is_overload = attempt.fate is Fate.NOT_RUN and attempt.arrived
             return attempt
         finally:
-            self._leave(waiting, is_overload=is_overload)
+            self._leave(slot, is_overload=is_overload)
             self.in_progress -= 1
 
     def _observe_root(
@@ -199,7 +189,7 @@
             self._admission.set_law(_make_law(slots))
             self._roots.set_most(slots)
             self._slots = slots
-            self._let_start(self._admission.start_waiting(now=now))
+            self._waiters.start_waiting(now=now)
         if self.on_news is not None:
             self.on_news()
 
@@ -208,54 +198,20 @@
         attempt.load = self.report_load(now=asyncio.get_running_loop().time())
         return attempt
 
-    async def _enter(self, waiting: _Waiting) -> CallError | None:
+    async def _enter(self, slot: Slot) -> CallError | None:
         """Wait for a slot; return the error if there is none."""
         loop = asyncio.get_running_loop()
-        decision = self._admission.offer(waiting.entry, now=loop.time())
-        for refusal in decision.displaced:
-            self._grant(refusal.entry, refusal.error)
-        if decision.verdict is Verdict.REFUSE:
-            return decision.error
-        if decision.verdict is Verdict.START:
-            waiting.is_held = True
-            return None
-        waiting.granted = loop.create_future()
-        self._waiting[id(waiting.entry)] = waiting
-        timer = loop.call_at(waiting.entry.deadline, self._expire, waiting)
-        try:
-            return await waiting.granted
-        except asyncio.CancelledError:
-            self._admission.withdraw(waiting.entry)
-            raise
-        finally:
-            timer.cancel()
-            self._waiting.pop(id(waiting.entry), None)
-
-    def _expire(self, waiting: _Waiting) -> None:
-        if self._admission.withdraw(waiting.entry):
-            error = CallError(kind=ErrorKind.DEADLINE_BEFORE_RUN)
-            self._grant(waiting.entry, error)
-
-    def _grant(self, entry: Entry, error: CallError | None) -> None:
-        waiting = self._waiting[id(entry)]
-        waiting.is_held = error is None
-        if waiting.granted is not None and not waiting.granted.done():
-            waiting.granted.set_result(error)
-
-    def _leave(self, waiting: _Waiting, *, is_overload: bool) -> None:
-        if not waiting.is_held:
+        decision = self._waiters.offer(slot, now=loop.time())
+        if decision.verdict is Verdict.WAIT:
+            return await self._waiters.wait(slot)
+        return decision.error
+
+    def _leave(self, slot: Slot, *, is_overload: bool) -> None:
+        if not slot.is_held:
             return
-        waiting.is_held = False
         now = asyncio.get_running_loop().time()
-        freed = self._admission.release(waiting.entry, is_overload=is_overload, now=now)
+        self._waiters.leave(slot, is_overload=is_overload, now=now)
         self._idle_since = now
-        self._let_start(freed)
-
-    def _let_start(self, freed: Freed) -> None:
-        for refusal in freed.expired:
-            self._grant(refusal.entry, refusal.error)
-        for entry in freed.started:
-            self._grant(entry, None)
 
     async def _hand_over(self, request: ForwardRequest) -> Attempt:
         """Send the request to the upstream and take its answer."""
--- a/src/pimentoscale/serving/runner.py
+++ b/src/pimentoscale/serving/runner.py
@@ -6,9 +6,10 @@
 from pimentoscale.admission import (
     Admission,
     Entry,
-    Freed,
     Length,
     Load,
+    Slot,
+    SlotWaiters,
     Verdict,
     make_limit_law,
 )
@@ -45,17 +46,6 @@
 log = get_logger("runner")
 
 
-class _Slot:
-    """One call's place in admission control."""
-
-    __slots__ = ("entry", "granted", "is_held")
-
-    def __init__(self, *, entry: Entry) -> None:
-        self.entry = entry
-        self.granted: asyncio.Future[CallError | None] | None = None
-        self.is_held = False
-
-
 class UpstreamRunner:
     """Admits calls and hands them to the upstream."""
 
@@ -65,11 +55,11 @@
         policy = state.configuration.policy
         self._state = state
         self._pool = ConnectionPool(address=address, limit=upstream.connections)
-        self._waiting: dict[int, _Slot] = {}
         law = make_limit_law(
             name=state.mode.limit_law, slots=upstream.slots, least=policy.min_limit
         )
         self._admission = Admission(law=law, policy=policy, long_share=0.5, now=now)
+        self._waiters = SlotWaiters(admission=self._admission)
         self._usual = UsualTimes()
         self._told_at: dict[str, float] = {}
         self.on_late: Callable[[str, float], None] | None = None
@@ -97,7 +87,7 @@
     def tick(self, *, now: float) -> None:
         """Start waiting calls for which a rising limit has made room."""
         if self._admission.queued:
-            self._let_start(self._admission.start_waiting(now=now))
+            self._waiters.start_waiting(now=now)
 
     def report_load(self, *, now: float) -> Load:
         """Return the load for an answer."""
@@ -113,7 +103,7 @@
         if self._state.is_draining:
             return Answer.of_error(CallError(kind=ErrorKind.DRAINING))
         self.in_progress += 1
-        slot = _Slot(entry=self._make_entry(context, kind))
+        slot = Slot(entry=self._make_entry(context, kind))
         try:
             error = await self._enter(slot)
             if error is not None:
@@ -137,64 +127,29 @@
             deadline=context.deadline,
         )
 
-    async def _enter(self, slot: _Slot) -> CallError | None:
+    async def _enter(self, slot: Slot) -> CallError | None:
         """Wait for a slot; return the error if there is none."""
         loop = asyncio.get_running_loop()
         now = loop.time()
-        decision = self._admission.offer(slot.entry, now=now)
-        for refusal in decision.displaced:
-            self._grant(refusal.entry, refusal.error)
-        if decision.verdict is Verdict.REFUSE:
+        decision = self._waiters.offer(slot, now=now)
+        if decision.verdict is not Verdict.WAIT:
             return decision.error
-        if decision.verdict is Verdict.START:
-            slot.is_held = True
-            return None
         self._state.record(
             EventName.CALL_QUEUED, request=slot.entry.request, kind=slot.entry.kind
         )
-        slot.granted = loop.create_future()
-        self._waiting[id(slot.entry)] = slot
-        timer = loop.call_at(slot.entry.deadline, self._expire, slot)
-        try:
-            error = await slot.granted
-        except asyncio.CancelledError:
-            self._admission.withdraw(slot.entry)
-            raise
-        finally:
-            timer.cancel()
-            self._waiting.pop(id(slot.entry), None)
+        error = await self._waiters.wait(slot)
         self._state.metrics.add_time(
             kind=slot.entry.kind, part="queue", seconds=loop.time() - now
         )
         return error
 
-    def _expire(self, slot: _Slot) -> None:
-        if self._admission.withdraw(slot.entry):
-            self._grant(slot.entry, CallError(kind=ErrorKind.DEADLINE_BEFORE_RUN))
-
-    def _grant(self, entry: Entry, error: CallError | None) -> None:
-        slot = self._waiting[id(entry)]
-        slot.is_held = error is None
-        if slot.granted is not None and not slot.granted.done():
-            slot.granted.set_result(error)
-
-    def _leave(self, slot: _Slot, *, is_overload: bool) -> None:
-        """Give the slot back, once, and start the calls that may follow."""
-        if not slot.is_held:
-            return
-        slot.is_held = False
+    def _leave(self, slot: Slot, *, is_overload: bool) -> None:
+        """Give the slot back, once."""
         now = asyncio.get_running_loop().time()
-        freed = self._admission.release(slot.entry, is_overload=is_overload, now=now)
-        self._let_start(freed)
-
-    def _let_start(self, freed: Freed) -> None:
-        for refusal in freed.expired:
-            self._grant(refusal.entry, refusal.error)
-        for entry in freed.started:
-            self._grant(entry, None)
+        self._waiters.leave(slot, is_overload=is_overload, now=now)
 
     async def _hand_over(
-        self, context: CallContext, request: CallRequest, slot: _Slot
+        self, context: CallContext, request: CallRequest, slot: Slot
     ) -> Answer:
         try:
             connection = await self._pool.acquire()
@@ -262,7 +217,7 @@
     def _pass_on(
         self,
         context: CallContext,
-        slot: _Slot,
+        slot: Slot,
         connection: UpstreamConnection,
         token: str,
         answer: UpstreamAnswer,
@@ -278,14 +233,13 @@
     def _follow_answer(
         self,
         context: CallContext,
-        slot: _Slot,
+        slot: Slot,
         connection: UpstreamConnection,
         token: str,
         is_overload: bool,
     ) -> None:
         """Keep the slot until the rest of the answer has come."""
-        held = _Slot(entry=slot.entry)
-        held.is_held, slot.is_held = slot.is_held, False
+        held = slot.pass_on()
         self.in_progress += 1
 
         async def wait_for_end() -> None:
