--- a/src/pimentoscale/forwarding/entry.py
+++ b/src/pimentoscale/forwarding/entry.py
@@ -3,7 +3,8 @@
 import asyncio
 import random
 
-from pimentoscale.errors import ANSWERS, CallError, ErrorKind
+from pimentoscale.errors import CallError, ErrorKind
+from pimentoscale.forwarding.answers import Answers
 from pimentoscale.forwarding.exchange import (
     Attempt,
     Fate,
@@ -38,13 +39,8 @@
 ANSWER_GRACE_S = 0.15
 # Sender's wait assumed where it states none.
 DEFAULT_REMAINING_S = 60.0
-# When to come back if no better time is known, and the spread around it.
-RETRY_AFTER_S = 0.3
-RETRY_SPREAD = 1.0
-REFUSED_STATUS = 503
 # Bytes of the heads of a request or an answer, roughly.
 HEAD_BYTES = 200
-FIRST_FAILURE = 500
 # The share of the slack of repeats that one node may take by itself.
 SLACK_SHARE = 0.04
 
@@ -72,6 +68,7 @@
         self._views = views
         self._source = source
         self._placement = Placement(source=source)
+        self._answers = Answers(state=state, source=source)
         self._splits: dict[str, ShareCounter] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self.origins = OriginTracker(now=now)
@@ -92,15 +89,17 @@
         table = self._state.table
         terms = self._messages.read_terms(request)
         if terms is None or not terms.identity:
-            return self._answer_error(CallError(kind=ErrorKind.BAD_HEADER), "", "")
+            return self._answers.make_error(
+                CallError(kind=ErrorKind.BAD_HEADER), "", ""
+            )
         if table is None:
             error = CallError(kind=ErrorKind.NO_CONFIGURATION)
-            return self._answer_error(error, terms.identity, "")
+            return self._answers.make_error(error, terms.identity, "")
         path = request.path.partition(b"?")[0].decode("latin-1")
         route = table.find(host=terms.host, path=path)
         if route is None:
             error = CallError(kind=ErrorKind.NO_ROUTE)
-            return self._answer_error(error, terms.identity, "")
+            return self._answers.make_error(error, terms.identity, "")
         self.origins.note(
             connection=request.connection,
             route=route.name,
@@ -110,9 +109,16 @@
         forward = self._make_forward(request, terms, route, now)
         if self._state.refuses_callers and not forward.is_inner:
             error = CallError(kind=ErrorKind.DRAINING, detail="the node stops")
-            return self._answer_error(error, forward.identity, forward.route)
+            return self._answers.make_error(error, forward.identity, forward.route)
         tried = await self._run(forward, route)
-        return self._finish(forward, tried, now)
+        has_targets = bool(self._views.list(forward.service))
+        return self._answers.finish(
+            forward,
+            tried,
+            has_targets=has_targets,
+            started=now,
+            now=asyncio.get_running_loop().time(),
+        )
 
     def _make_forward(
         self, request: HttpRequest, terms: RequestTerms, route: Route, now: float
@@ -290,68 +296,6 @@
             self._budgets[service] = budget
         return budget
 
-    def _finish(
-        self, forward: ForwardRequest, tried: Tried, started: float
-    ) -> HttpResponse:
-        now = asyncio.get_running_loop().time()
-        self._state.metrics.add_time(
-            kind=forward.route, part="whole", seconds=now - started
-        )
-        attempt = tried.last
-        if attempt is not None and attempt.response is not None:
-            self._state.metrics.count("answers", str(attempt.response.status))
-            log.info(
-                "answered %d: at=%s route=%s inner=%s run_ms=%.0f total_ms=%.0f "
-                "left_ms=%.0f offers=%d version=%d",
-                attempt.response.status,
-                ",".join(tried.nodes),
-                forward.route,
-                forward.is_inner,
-                attempt.run_ms,
-                (now - started) * 1000,
-                (forward.deadline - now) * 1000,
-                len(tried.nodes),
-                self._state.version,
-                request=forward.identity,
-            )
-            return attempt.response
-        error = attempt.error if attempt is not None else None
-        if error is None and self._views.list(forward.service):
-            error = CallError(kind=ErrorKind.OVERLOADED, detail="known from before")
-        if error is None:
-            error = CallError(kind=ErrorKind.NO_TARGET)
-        if tried.may_have_run and ANSWERS[error.kind].status == REFUSED_STATUS:
-            error = CallError(kind=ErrorKind.UPSTREAM_FAILED, detail=error.kind.value)
-        return self._answer_error(
-            error, forward.identity, forward.route, ran_nowhere=not tried.may_have_run
-        )
-
-    def _answer_error(
-        self, error: CallError, identity: str, route: str, *, ran_nowhere: bool = True
-    ) -> HttpResponse:
-        """Return the answer to a request that no target has answered."""
-        row = ANSWERS[error.kind]
-        status = row.status
-        headers = [(b"content-type", b"text/plain; charset=utf-8")]
-        if ran_nowhere and status >= FIRST_FAILURE:
-            status = REFUSED_STATUS
-            base_s = max(RETRY_AFTER_S, error.retry_after_ms / 1000)
-            wait_s = base_s * self._source.uniform(1, 1 + RETRY_SPREAD)
-            headers.append((b"retry-after", f"{wait_s:.2f}".encode()))
-        self._state.metrics.count("errors", error.kind.value)
-        log.info(
-            "answered %d: %s %s route=%s version=%d",
-            status,
-            error.kind.value,
-            error.detail,
-            route,
-            self._state.version,
-            request=identity,
-        )
-        return HttpResponse(
-            status=status, headers=headers, body=row.text.encode() + b"\n"
-        )
-
 
 _AVOIDED = (
     ErrorKind.PEER_UNREACHABLE,
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -220,12 +220,20 @@
             "target_in_progress": self.target.in_progress,
             "streams_up": self.links.count_up(),
             "members": len(self.state.members),
+            "store_answer_age_seconds": self._find_store_age_s(),
         }
         for name, value in values.items():
             metrics.set_gauge(Gauge(name=name, value=float(value)))
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         return HttpResponse(status=200, headers=headers, body=metrics.render())
 
+    def _find_store_age_s(self) -> float:
+        """Return how long ago the store last answered; -1 if it never has."""
+        heard = [item.heard_at for item in self._watchers if item.heard_at is not None]
+        if not heard:
+            return -1.0
+        return asyncio.get_running_loop().time() - max(heard)
+
     def _follow_routes(self, table: RouteTable) -> None:
         limits = self._outgoing.limits
         limits.header_bytes = table.limits.header_bytes
--- a/src/pimentoscale/forwarding/routes.py
+++ b/src/pimentoscale/forwarding/routes.py
@@ -52,7 +52,6 @@
 
     def apply(self, data: bytes, *, source: str) -> bool:
         """Take a record into force if it is valid and newer; return True if so."""
-        now = asyncio.get_running_loop().time()
         match self._decode(data):
             case Err(reason):
                 log.warning("record of %s skipped: %s", source, reason)
@@ -68,7 +67,6 @@
             return False
         before_routes = self._state.table.routes if self._state.table else []
         self._state.table = table
-        self._state.table_at = now
         self._state.record = data
         log.info(
             "version %d in force, before %d: source=%s routes=%d",
--- a/src/pimentoscale/forwarding/settings.py
+++ b/src/pimentoscale/forwarding/settings.py
@@ -25,9 +25,7 @@
     upstream: Address
     upstream_service: str
     store: Address
-    heartbeat_s: float
     stop_grace_s: float
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
-    memory_mb: float
--- a/src/pimentoscale/forwarding/state.py
+++ b/src/pimentoscale/forwarding/state.py
@@ -15,7 +15,7 @@
     """The routes in force, the members and the state of this node.
 
     `record` is the newest record of the routes as it stands in the store, kept for
-    peers that can't read it there. `table_at` is when it came into force. A node that
+    peers that can't read it there. A node that
     is stopping takes no new callers; once it is leaving, no work of other nodes either;
     in the end it refuses callers that still send to it, while there is no time to
     finish their requests.
@@ -25,7 +25,6 @@
     incarnation: int
     metrics: Metrics = field(default_factory=Metrics)
     table: RouteTable | None = None
-    table_at: float = 0.0
     record: bytes = b""
     members: dict[str, Member] = field(default_factory=dict)
     is_stopping: bool = False
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -84,7 +84,7 @@
 
     def announce(self, announcement: UpstreamAnnouncement, *, now: float) -> Admittance:
         """Take in what the upstream says of itself."""
-        result = self.registration.apply(announcement, now=now)
+        result = self.registration.apply(announcement)
         if result is Admittance.NEWS:
             log.info(
                 "upstream %s of %s: slots=%d leaving=%s sequence=%d",
--- a/src/pimentoscale/http/client.py
+++ b/src/pimentoscale/http/client.py
@@ -51,7 +51,6 @@
         self._is_closed = False
         self.idle_s = DEFAULT_IDLE_S
         self.idle_since = 0.0
-        self.exchanges = 0
 
     def is_usable(self, *, now: float) -> bool:
         """Tell whether another request may be sent on this connection."""
@@ -75,7 +74,6 @@
         self._is_head = request.method == b"HEAD"
         self._is_done = False
         self._parser = httptools.HttpResponseParser(self)
-        self.exchanges += 1
         self._transport.write(request.encode())
         try:
             return await self._answer
--- a/src/pimentoscale/membership/upstream.py
+++ b/src/pimentoscale/membership/upstream.py
@@ -47,12 +47,11 @@
     upstream leaves, no further work reaches it.
     """
 
-    __slots__ = ("_ended", "_heard_at", "address", "current")
+    __slots__ = ("_ended", "address", "current")
 
     def __init__(self, *, address: Address) -> None:
         self.address = address
         self.current: UpstreamAnnouncement | None = None
-        self._heard_at = 0.0
         self._ended: dict[str, int] = {}
 
     @property
@@ -60,7 +59,7 @@
         """Tell whether new work may be handed to the upstream."""
         return self.current is not None and not self.current.is_leaving
 
-    def apply(self, announcement: UpstreamAnnouncement, *, now: float) -> Admittance:
+    def apply(self, announcement: UpstreamAnnouncement) -> Admittance:
         """Take in an announcement unless it is older or about another address."""
         if announcement.address != self.address:
             return Admittance.FOREIGN
@@ -70,7 +69,6 @@
         known = self.current
         if known is not None and announcement.precedence < known.precedence:
             return Admittance.STALE
-        self._heard_at = now
         is_same = known is not None and known.identity == announcement.identity
         is_same_start = (
             known is not None and known.started_ms >= announcement.started_ms
@@ -99,7 +97,3 @@
         self._ended[identity] = known.started_ms
         self.current = None
         return True
-
-    def get_silence_s(self, *, now: float) -> float:
-        """Return for how long nothing has been heard."""
-        return now - self._heard_at
--- a/src/pimentoscale/platform/settings.py
+++ b/src/pimentoscale/platform/settings.py
@@ -12,8 +12,6 @@
 
 SETTINGS_VARIABLE = "PIMENTOSCALE_NODE_FILE"
 DEFAULT_PATH = "/etc/pimentoscale/boot.conf"
-# The platform's calls are refused beyond this many of all nodes, if it does not say.
-DEFAULT_RECORD_BYTES = 262_144
 
 Values = Mapping[str, str]
 
@@ -51,12 +49,10 @@
         upstream=reader.read_address("application_address"),
         upstream_service=values.get("service", ""),
         store=reader.read_address("platform.address"),
-        heartbeat_s=reader.read_number("heartbeat_s", 1.5),
         stop_grace_s=bounds.get("grace_s", 6.0),
         retry_ratio=bounds.get("budget_ratio", 0.2),
         retry_window_s=bounds.get("budget_window_s", 10.0),
         retry_slack=bounds.get("budget_slack", 10.0),
-        memory_mb=reader.read_number("limits.memory_mb", 300.0),
     )
     if reader.faults:
         return Err(reader.faults)
@@ -98,18 +94,6 @@
         self._add(key, self._values.get(key, ""), "two ports, as 7620,7635")
         return 1, 2
 
-    def read_number(self, key: str, default: float) -> float:
-        """Return an optional number above zero."""
-        value = self._values.get(key, "")
-        try:
-            number = float(value) if value else default
-        except ValueError:
-            number = -1.0
-        if not 0 < number < float("inf"):
-            self._add(key, value, "a number above 0")
-            return default
-        return number
-
     def _add(self, key: str, seen: str, allowed: str) -> None:
         self.faults.append(Fault(key=key, seen=repr(seen), allowed=allowed))
 
--- a/src/pimentoscale/platform/store.py
+++ b/src/pimentoscale/platform/store.py
@@ -30,8 +30,6 @@
 # it is slow; a call that has no answer by then is lost.
 CALL_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 16
-# The topics that keep the newest record of each key begin so.
-KEYED_PREFIX = "keyed."
 CONFIGURATION_TOPIC = "keyed.op"
 MEMBERS_TOPIC = "keyed.members"
 OFFSETS = struct.Struct(">QQ")
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -113,12 +113,10 @@
             upstream=find_address(),
             upstream_service=service,
             store=self.store,
-            heartbeat_s=0.2,
             stop_grace_s=6.0,
             retry_ratio=0.2,
             retry_window_s=10.0,
             retry_slack=50.0,
-            memory_mb=300,
         )
         target = StandInTarget(
             identity=f"i-{name}",
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -371,34 +371,34 @@
     registration = UpstreamRegistration(address=ADDRESS)
     new = make_announcement(identity="i-2", started_ms=200)
     old = make_announcement(sequence=99)
-    assert registration.apply(new, now=0.0) is Admittance.NEWS
-    assert registration.apply(old, now=0.0) is Admittance.STALE
+    assert registration.apply(new) is Admittance.NEWS
+    assert registration.apply(old) is Admittance.STALE
     assert registration.current == new
 
 
 def test_upstream_that_leaves_takes_no_work_again_under_the_same_start() -> None:
     registration = UpstreamRegistration(address=ADDRESS)
-    registration.apply(make_announcement(), now=0.0)
-    registration.apply(make_announcement(sequence=2, is_leaving=True), now=0.0)
-    registration.apply(make_announcement(sequence=3), now=0.0)
+    registration.apply(make_announcement())
+    registration.apply(make_announcement(sequence=2, is_leaving=True))
+    registration.apply(make_announcement(sequence=3))
     assert not registration.takes_work
-    registration.apply(make_announcement(started_ms=300), now=0.0)
+    registration.apply(make_announcement(started_ms=300))
     assert registration.takes_work
 
 
 def test_late_announcement_of_one_that_has_gone_names_no_target() -> None:
     registration = UpstreamRegistration(address=ADDRESS)
-    registration.apply(make_announcement(), now=0.0)
+    registration.apply(make_announcement())
     assert registration.end(identity="i-1")
     late = make_announcement(sequence=2)
-    assert registration.apply(late, now=0.0) is Admittance.STALE
+    assert registration.apply(late) is Admittance.STALE
     assert not registration.takes_work
 
 
 def test_announcement_of_another_address_changes_nothing() -> None:
     registration = UpstreamRegistration(address=ADDRESS)
     foreign = make_announcement(address=Address(host="10.0.0.2", port=80))
-    assert registration.apply(foreign, now=0.0) is Admittance.FOREIGN
+    assert registration.apply(foreign) is Admittance.FOREIGN
     assert registration.current is None
 
 
