--- a/src/pimentoscale/forwarding/entry.py
+++ b/src/pimentoscale/forwarding/entry.py
@@ -7,7 +7,7 @@
 from pimentoscale.forwarding.answers import Answers
 from pimentoscale.forwarding.exchange import (
     Attempt,
-    Fate,
+    AttemptOutcome,
     ForwardRequest,
     Messages,
     RequestTerms,
@@ -199,7 +199,9 @@
             self._learn(view, forward, attempt, now=loop.time())
             tried.last = attempt
             tried.arrivals += attempt.arrived
-            tried.may_have_run = tried.may_have_run or attempt.fate is not Fate.NOT_RUN
+            tried.may_have_run = (
+                tried.may_have_run or attempt.outcome is not AttemptOutcome.NOT_RUN
+            )
             if not self._may_go_on(attempt, tried, forward, route, budget):
                 break
         return tried
@@ -212,12 +214,12 @@
         route: Route,
         budget: RetryBudget,
     ) -> bool:
-        if attempt.fate is Fate.ANSWERED:
+        if attempt.outcome is AttemptOutcome.ANSWERED:
             return False
         now = asyncio.get_running_loop().time()
         if now >= forward.deadline:
             return False
-        if attempt.fate is Fate.UNKNOWN and not forward.idempotent:
+        if attempt.outcome is AttemptOutcome.UNKNOWN and not forward.idempotent:
             return False
         if not attempt.arrived:
             return True
@@ -257,7 +259,7 @@
     ) -> None:
         if attempt.load is not None:
             view.note_load(attempt.load, now=now)
-        if attempt.fate is Fate.ANSWERED:
+        if attempt.outcome is AttemptOutcome.ANSWERED:
             view.note_run(route=forward.route, run_ms=attempt.run_ms, now=now)
             size = len(forward.message.body) + HEAD_BYTES
             if attempt.response is not None:
@@ -276,7 +278,7 @@
         log.info(
             "attempt at %s: %s %s %s arrived=%s in_flight=%s",
             view.member.instance,
-            attempt.fate.value,
+            attempt.outcome.value,
             error.kind.value,
             error.detail,
             attempt.arrived,
--- a/src/pimentoscale/forwarding/exchange.py
+++ b/src/pimentoscale/forwarding/exchange.py
@@ -48,7 +48,7 @@
         """Return what a target's answer states."""
 
 
-class Fate(Enum):
+class AttemptOutcome(Enum):
     """What has become of one attempt."""
 
     ANSWERED = "answered"
@@ -85,7 +85,7 @@
     cause calls of other services.
     """
 
-    fate: Fate
+    outcome: AttemptOutcome
     arrived: bool = False
     response: HttpResponse | None = None
     error: CallError | None = None
@@ -99,13 +99,13 @@
     ) -> "Attempt":
         """Return an attempt that ran nowhere."""
         error = CallError(kind=kind, detail=detail, retry_after_ms=retry_after_ms)
-        return cls(fate=Fate.NOT_RUN, error=error)
+        return cls(outcome=AttemptOutcome.NOT_RUN, error=error)
 
     @classmethod
     def of_doubt(cls, kind: ErrorKind, *, detail: str = "") -> "Attempt":
         """Return an attempt that may have run."""
         error = CallError(kind=kind, detail=detail)
-        return cls(fate=Fate.UNKNOWN, arrived=True, error=error)
+        return cls(outcome=AttemptOutcome.UNKNOWN, arrived=True, error=error)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/pimentoscale/forwarding/frames.py
+++ b/src/pimentoscale/forwarding/frames.py
@@ -2,7 +2,7 @@
 
 from pimentoscale.admission import Load
 from pimentoscale.errors import CallError, ErrorKind
-from pimentoscale.forwarding.exchange import Attempt, Fate, ForwardRequest
+from pimentoscale.forwarding.exchange import Attempt, AttemptOutcome, ForwardRequest
 from pimentoscale.http import Header, HttpRequest, HttpResponse
 from pimentoscale.stream import Forward, Forwarded, FrameError
 
@@ -56,7 +56,7 @@
     load = attempt.load or Load(in_flight=0, limit=0, queue_ms=0, admitted=0)
     return Forwarded(
         query=query,
-        fate=attempt.fate.value,
+        outcome=attempt.outcome.value,
         arrived=attempt.arrived,
         error=error.kind.value if error else "",
         detail=error.detail if error else "",
@@ -76,7 +76,7 @@
 def read_forwarded(frame: Forwarded) -> Attempt:
     """Return the outcome that a frame stands for; raises `FrameError`."""
     try:
-        fate = Fate(frame.fate)
+        outcome = AttemptOutcome(frame.outcome)
         error = None
         if frame.error:
             error = CallError(
@@ -100,7 +100,7 @@
         admitted=frame.admitted,
     )
     return Attempt(
-        fate=fate,
+        outcome=outcome,
         arrived=frame.arrived,
         response=response,
         error=error,
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -265,7 +265,7 @@
             self._last_tick = now
             if suspended_s or late_s > HEARTBEAT_TIMEOUT_S / 2:
                 log.warning("paused: suspended_s=%.2f late_s=%.2f", suspended_s, late_s)
-                self.receiver.forgive_silence(now=now)
+                self.receiver.reset_silence(now=now)
             self.receiver.close_silent(now=now)
             self.links.close_idle(now=now)
             self.target.close_idle(now=now)
--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -86,7 +86,7 @@
                 log.info("stream of %s is silent; closed", session.remote.instance)
                 session.connection.abort()
 
-    def forgive_silence(self, *, now: float) -> None:
+    def reset_silence(self, *, now: float) -> None:
         """Take the silence of the past as this process's own, after a pause."""
         for session in self._sessions:
             session.connection.last_heard = now
--- a/src/pimentoscale/forwarding/registry.py
+++ b/src/pimentoscale/forwarding/registry.py
@@ -1,7 +1,7 @@
 """What nodes share in the store: members' records, and the routes that callers use.
 
 The routes are kept there since a node that starts amid heavy load could not find them
-out: its target never rests.
+out: its target is never idle.
 """
 
 import asyncio
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -16,7 +16,12 @@
     make_limit_law,
 )
 from pimentoscale.errors import CallError, ErrorKind
-from pimentoscale.forwarding.exchange import Attempt, Fate, ForwardRequest, Messages
+from pimentoscale.forwarding.exchange import (
+    Attempt,
+    AttemptOutcome,
+    ForwardRequest,
+    Messages,
+)
 from pimentoscale.forwarding.settings import SidecarSettings
 from pimentoscale.http import (
     AnswerBrokenError,
@@ -139,7 +144,7 @@
                 detail="the route's limit at this target",
                 retry_after_ms=int(request.objective_s * 1000 * ROOT_RETRY_SHARE),
             )
-            return self._report(Attempt(fate=Fate.NOT_RUN, error=error))
+            return self._report(Attempt(outcome=AttemptOutcome.NOT_RUN, error=error))
         try:
             started = asyncio.get_running_loop().time()
             attempt = await self._run_admitted(request)
@@ -160,9 +165,9 @@
         try:
             error = await self._enter(slot)
             if error is not None:
-                return Attempt(fate=Fate.NOT_RUN, error=error)
+                return Attempt(outcome=AttemptOutcome.NOT_RUN, error=error)
             attempt = await self._hand_over(request)
-            is_overload = attempt.fate is Fate.NOT_RUN and attempt.arrived
+            is_overload = attempt.outcome is AttemptOutcome.NOT_RUN and attempt.arrived
             return attempt
         finally:
             self._leave(slot, is_overload=is_overload)
@@ -172,7 +177,7 @@
         self, request: ForwardRequest, attempt: Attempt, started: float
     ) -> None:
         response = attempt.response
-        if response is None and attempt.fate is Fate.NOT_RUN:
+        if response is None and attempt.outcome is AttemptOutcome.NOT_RUN:
             return
         now = asyncio.get_running_loop().time()
         self._roots.observe(
@@ -294,7 +299,10 @@
             return Attempt.of_doubt(ErrorKind.ANSWER_DAMAGED, detail=detail)
         response.headers = drop_connection_headers(response.headers)
         return Attempt(
-            fate=Fate.ANSWERED, arrived=True, response=response, run_ms=run_ms
+            outcome=AttemptOutcome.ANSWERED,
+            arrived=True,
+            response=response,
+            run_ms=run_ms,
         )
 
 
--- a/src/pimentoscale/stream/frames.py
+++ b/src/pimentoscale/stream/frames.py
@@ -267,7 +267,7 @@
     """
 
     query: int
-    fate: str
+    outcome: str
     arrived: bool
     error: str
     detail: str
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -247,7 +247,7 @@
     assert origins.list_callers_routes() == ["other", "root"]
 
 
-def test_node_that_never_rests_learns_from_others_which_routes_callers_use() -> None:
+def test_node_that_is_never_idle_learns_from_others_which_routes_callers_use() -> None:
     origins = OriginTracker(now=0.0)
     for _ in range(2 * INNER_SIGHTINGS):
         see(origins, connection=1, route="root")
@@ -256,7 +256,7 @@
     assert not origins.is_inner("root")
 
 
-def test_rest_after_a_start_proves_nothing() -> None:
+def test_idle_target_after_a_start_proves_nothing() -> None:
     origins = OriginTracker(now=0.0)
     origins.note(connection=1, route="r", target_idle_s=2 * IDLE_S, now=START_S / 2)
     assert not origins.is_callers("r")
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -271,9 +271,9 @@
             ),
         )
         attempt = await machine.sidecar.target.run(request)
-        assert attempt.fate.value == "not_run"
+        assert attempt.outcome.value == "not_run"
         attempt = await machine.sidecar.target.run(replace(request, service="b"))
-        assert attempt.fate.value == "answered"
+        assert attempt.outcome.value == "answered"
 
     play(scenario)
 
