--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -23,14 +23,25 @@
 WAIT_S = 15.0
 POLL_S = 0.02
 CONFIGURATION_TOPIC = "keyed.op"
+# Each port is given out once.
+PORTS = iter(range(21_000, 29_000))
 HOST_NAME = "h.example"
 
 
 def find_address() -> Address:
-    """Return an address that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return Address(host=HOST, port=sock.getsockname()[1])
+    """Return an address that is free and stays so.
+
+    Its port lies below those that the system gives to outgoing connections.
+    """
+    for port in PORTS:
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                # Another program listens there.
+                continue
+        return Address(host=HOST, port=port)
+    raise RuntimeError("no port is free")
 
 
 async def wait_until(condition: Callable[[], bool]) -> None:
