--- a/src/pimentoscale/forwarding/entry.py
+++ b/src/pimentoscale/forwarding/entry.py
@@ -131,7 +131,12 @@
         own_service = self._state.settings.upstream_service
         if registered is not None:
             own_service = registered.service
-        request.headers = self._messages.set_origin(headers, service=own_service)
+        message = HttpRequest(
+            method=request.method,
+            path=request.path,
+            lines=self._messages.encode_request_headers(headers, service=own_service),
+            body=request.body,
+        )
         return ForwardRequest(
             identity=terms.identity,
             service=self._choose_service(route),
@@ -142,7 +147,7 @@
             is_returning=self.origins.is_returning(route.name, remaining_s=remaining_s),
             deadline=now + min(remaining_s, route.timeout_s),
             objective_s=min(route.objective_s, route.timeout_s),
-            message=request,
+            message=message,
         )
 
     def _choose_service(self, route: Route) -> str:
--- a/src/pimentoscale/forwarding/exchange.py
+++ b/src/pimentoscale/forwarding/exchange.py
@@ -33,13 +33,11 @@
     def read_terms(self, request: HttpRequest) -> RequestTerms | None:
         """Return what a request asks for, or None if a header is malformed."""
 
-    def make_target_headers(
-        self, headers: list[Header], *, remaining_ms: int, instance: str
-    ) -> list[Header]:
-        """Return the headers for the target."""
+    def encode_request_headers(self, headers: list[Header], *, service: str) -> bytes:
+        """Return the header lines to pass on, with the service where it began."""
 
-    def set_origin(self, headers: list[Header], *, service: str) -> list[Header]:
-        """Return the headers with the service beside which the request began."""
+    def encode_target_headers(self, *, remaining_ms: int, instance: str) -> bytes:
+        """Return the header lines that the node beside the target adds."""
 
     def belongs_to(self, response: HttpResponse, identity: str) -> bool:
         """Tell whether an answer is the one to the request."""
--- a/src/pimentoscale/forwarding/frames.py
+++ b/src/pimentoscale/forwarding/frames.py
@@ -3,7 +3,7 @@
 from pimentoscale.admission import Load
 from pimentoscale.errors import CallError, ErrorKind
 from pimentoscale.forwarding.exchange import Attempt, AttemptOutcome, ForwardRequest
-from pimentoscale.http import Header, HttpRequest, HttpResponse
+from pimentoscale.http import HttpRequest, HttpResponse
 from pimentoscale.stream import Forward, Forwarded, FrameError
 
 
@@ -23,7 +23,7 @@
         objective_ms=int(request.objective_s * 1000),
         method=message.method,
         path=message.path,
-        headers=[list(item) for item in message.headers],
+        lines=message.lines,
         body=message.body,
     )
 
@@ -43,7 +43,7 @@
         message=HttpRequest(
             method=frame.method,
             path=frame.path,
-            headers=_read_headers(frame.headers),
+            lines=frame.lines,
             body=frame.body,
         ),
     )
@@ -64,7 +64,7 @@
         run_ms=int(attempt.run_ms),
         calls_others=attempt.calls_others,
         status=response.status if response else 0,
-        headers=[list(item) for item in response.headers] if response else [],
+        lines=response.lines if response else b"",
         body=response.body if response else b"",
         in_flight=load.in_flight,
         limit=load.limit,
@@ -90,7 +90,7 @@
     if frame.status:
         response = HttpResponse(
             status=frame.status,
-            headers=_read_headers(frame.headers),
+            lines=frame.lines,
             body=frame.body,
         )
     load = Load(
@@ -108,12 +108,3 @@
         run_ms=float(frame.run_ms),
         calls_others=frame.calls_others,
     )
-
-
-def _read_headers(items: list[list[bytes]]) -> list[Header]:
-    headers: list[Header] = []
-    for item in items:
-        if len(item) != 2:
-            raise FrameError("a header is not a name and a value")
-        headers.append((item[0], item[1]))
-    return headers
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -31,6 +31,7 @@
     HttpResponse,
     NotConnectedError,
     drop_connection_headers,
+    encode_headers,
 )
 from pimentoscale.logs import get_logger
 from pimentoscale.membership.upstream import (
@@ -266,13 +267,14 @@
     def _make_message(
         self, request: ForwardRequest, instance: str, remaining_ms: int
     ) -> HttpRequest:
-        headers = self._messages.make_target_headers(
-            request.message.headers, remaining_ms=remaining_ms, instance=instance
+        added = self._messages.encode_target_headers(
+            remaining_ms=remaining_ms, instance=instance
         )
         return HttpRequest(
             method=request.message.method,
             path=request.message.path,
-            headers=headers,
+            headers=request.message.headers,
+            lines=request.message.lines + added,
             body=request.message.body,
         )
 
@@ -297,11 +299,14 @@
             connection.close()
             detail = "the answer does not prove that it is the target's"
             return Attempt.of_doubt(ErrorKind.ANSWER_DAMAGED, detail=detail)
-        response.headers = drop_connection_headers(response.headers)
+        kept = drop_connection_headers(response.headers)
+        whole = HttpResponse(
+            status=response.status, lines=encode_headers(kept), body=response.body
+        )
         return Attempt(
             outcome=AttemptOutcome.ANSWERED,
             arrived=True,
-            response=response,
+            response=whole,
             run_ms=run_ms,
         )
 
--- a/src/pimentoscale/http/__init__.py
+++ b/src/pimentoscale/http/__init__.py
@@ -11,6 +11,7 @@
     HttpRequest,
     HttpResponse,
     drop_connection_headers,
+    encode_headers,
     find_header,
 )
 from pimentoscale.http.server import HttpLimits, HttpServer
@@ -26,5 +27,6 @@
     "HttpServer",
     "NotConnectedError",
     "drop_connection_headers",
+    "encode_headers",
     "find_header",
 ]
--- a/src/pimentoscale/http/message.py
+++ b/src/pimentoscale/http/message.py
@@ -34,27 +34,34 @@
 
 def drop_connection_headers(headers: list[Header]) -> list[Header]:
     """Return the headers without those that concern one connection only."""
+    kept = [item for item in headers if item[0] not in CONNECTION_HEADERS]
+    stated = find_header(headers, b"connection")
+    if stated is None:
+        return kept
     named: set[bytes] = set()
     for name, value in headers:
         if name == b"connection":
             named.update(part.strip().lower() for part in value.split(b","))
-    return [
-        (name, value)
-        for name, value in headers
-        if name not in CONNECTION_HEADERS and name not in named
-    ]
+    return [item for item in kept if item[0] not in named]
+
+
+def encode_headers(headers: Iterable[Header]) -> bytes:
+    """Return header lines, each with its line end."""
+    return b"".join([b"%b: %b\r\n" % item for item in headers])
 
 
 @dataclass(slots=True, kw_only=True)
 class HttpRequest:
     """A request; header names are in lower case, `path` holds the query too.
 
+    `lines` are further headers, encoded already: a node passes them on as they are.
     `connection` tells the server's connections apart; 0 elsewhere.
     """
 
     method: bytes
     path: bytes
     headers: list[Header] = field(default_factory=list)
+    lines: bytes = b""
     body: bytes = b""
     connection: int = 0
 
@@ -64,19 +71,29 @@
 
     def encode(self) -> bytes:
         """Return the bytes to send; the body's length is always stated."""
-        lines = [b"%b %b HTTP/1.1" % (self.method, self.path)]
-        lines.extend(name + b": " + value for name, value in self.headers)
+        length = b""
         if self.body or self.method not in (b"GET", b"HEAD", b"DELETE"):
-            lines.append(b"content-length: %d" % len(self.body))
-        return b"\r\n".join(lines) + b"\r\n\r\n" + self.body
+            length = b"content-length: %d\r\n" % len(self.body)
+        return b"%b %b HTTP/1.1\r\n%b%b%b\r\n%b" % (
+            self.method,
+            self.path,
+            encode_headers(self.headers),
+            self.lines,
+            length,
+            self.body,
+        )
 
 
 @dataclass(slots=True, kw_only=True)
 class HttpResponse:
-    """A response that is whole; header names are in lower case."""
+    """A response that is whole; header names are in lower case.
+
+    `lines` are further headers, encoded already.
+    """
 
     status: int
     headers: list[Header] = field(default_factory=list)
+    lines: bytes = b""
     body: bytes = b""
 
     def find(self, name: bytes) -> bytes | None:
@@ -85,12 +102,15 @@
 
     def encode(self, *, closes: bool, to_head: bool = False) -> bytes:
         """Return the bytes to send; `to_head` leaves the body out."""
-        reason = REASONS.get(self.status, b"Unknown")
-        lines = [b"HTTP/1.1 %d %b" % (self.status, reason)]
-        lines.extend(name + b": " + value for name, value in self.headers)
+        length = b""
         if self.status not in BODYLESS_STATUSES:
-            lines.append(b"content-length: %d" % len(self.body))
-        if closes:
-            lines.append(b"connection: close")
-        body = b"" if to_head else self.body
-        return b"\r\n".join(lines) + b"\r\n\r\n" + body
+            length = b"content-length: %d\r\n" % len(self.body)
+        return b"HTTP/1.1 %d %b\r\n%b%b%b%b\r\n%b" % (
+            self.status,
+            REASONS.get(self.status, b"Unknown"),
+            encode_headers(self.headers),
+            self.lines,
+            length,
+            b"connection: close\r\n" if closes else b"",
+            b"" if to_head else self.body,
+        )
--- a/src/pimentoscale/platform/messages.py
+++ b/src/pimentoscale/platform/messages.py
@@ -1,7 +1,7 @@
 """Headers of requests and answers, translated at the node's two sides."""
 
 from pimentoscale.forwarding.exchange import RequestTerms, TargetAnswer
-from pimentoscale.http import Header, HttpRequest, HttpResponse
+from pimentoscale.http import Header, HttpRequest, HttpResponse, encode_headers
 
 # Identifies one attempt of a client; targets echo it.
 _ATTEMPT = b"attempt-id"
@@ -28,15 +28,16 @@
 
     def read_terms(self, request: HttpRequest) -> RequestTerms | None:
         """Return what a request asks for, or None if a header is malformed."""
-        identity = request.find(_ATTEMPT)
-        remaining = request.find(_REMAINING)
+        found = dict(reversed(request.headers))
+        identity = found.get(_ATTEMPT)
+        remaining = found.get(_REMAINING)
         if remaining is None:
             remaining_s = None
         elif remaining.isdigit():
             remaining_s = min(int(remaining), MAX_REMAINING_MS) / 1000
         else:
             return None
-        host = request.find(b"host") or b""
+        host = found.get(b"host", b"")
         name = host.decode("latin-1").lower()
         return RequestTerms(
             identity=(identity or b"").decode("latin-1"),
@@ -44,21 +45,22 @@
             remaining_s=remaining_s,
         )
 
-    def make_target_headers(
-        self, headers: list[Header], *, remaining_ms: int, instance: str
-    ) -> list[Header]:
-        """Return the headers for the target; the origin is set before this."""
-        kept = [item for item in headers if item[0] not in (_REMAINING, _EXPECTED)]
-        kept.append((_REMAINING, b"%d" % remaining_ms))
-        if instance:
-            kept.append((_EXPECTED, instance.encode()))
-        return kept
-
-    def set_origin(self, headers: list[Header], *, service: str) -> list[Header]:
-        """Return the headers with the service beside which the request began."""
+    def encode_request_headers(self, headers: list[Header], *, service: str) -> bytes:
+        """Return the lines to pass on, without those that a node sets for a target."""
         kept = [item for item in headers if item[0] not in _SET_BY_NODE]
         kept.append((_ORIGIN, service.encode()))
-        return kept
+        return encode_headers(kept)
+
+    def encode_target_headers(self, *, remaining_ms: int, instance: str) -> bytes:
+        """Return the lines that a node adds for its target."""
+        if not instance:
+            return b"%b: %d\r\n" % (_REMAINING, remaining_ms)
+        return b"%b: %d\r\n%b: %b\r\n" % (
+            _REMAINING,
+            remaining_ms,
+            _EXPECTED,
+            instance.encode(),
+        )
 
     def belongs_to(self, response: HttpResponse, identity: str) -> bool:
         """Tell whether an answer is the one to the request."""
@@ -67,9 +69,10 @@
 
     def read_answer(self, response: HttpResponse, identity: str) -> TargetAnswer:
         """Return what a target's answer states."""
+        found = dict(reversed(response.headers))
         return TargetAnswer(
-            ran=response.find(_NOT_RUN) is None and response.status != MISDIRECTED,
-            is_genuine=response.find(_SIGNATURE) is not None
-            and response.find(_ATTEMPT) == identity.encode("latin-1"),
+            ran=_NOT_RUN not in found and response.status != MISDIRECTED,
+            is_genuine=_SIGNATURE in found
+            and found.get(_ATTEMPT) == identity.encode("latin-1"),
             is_misdirected=response.status == MISDIRECTED,
         )
--- a/src/pimentoscale/stream/frames.py
+++ b/src/pimentoscale/stream/frames.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 FRAMES: dict[int, type["Frame"]] = {}
 CODES: dict[type["Frame"], int] = {}
@@ -239,6 +239,7 @@
 
     `timeout_ms` is what is left of the request's time. `inner` marks the call of a
     target that runs an admitted request, `returning` a caller that has come back.
+    `lines` are the encoded headers.
     """
 
     query: int
@@ -253,7 +254,7 @@
     objective_ms: int
     method: bytes
     path: bytes
-    headers: list[list[bytes]]
+    lines: bytes
     body: bytes
 
 
@@ -263,6 +264,7 @@
     """What has become of a forwarded request; `status` is 0 without an answer.
 
     `calls_others` tells that a run of the target may cause calls of other services.
+    `lines` are the encoded headers.
     `in_flight`, `limit`, `queue_ms` and `admitted` are the target's load.
     """
 
@@ -275,7 +277,7 @@
     run_ms: int
     calls_others: bool
     status: int
-    headers: list[list[bytes]]
+    lines: bytes
     body: bytes
     in_flight: int
     limit: int
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -78,6 +78,33 @@
     assert b"lines dropped" in lines[-1]
 
 
+def test_structured_line_of_a_request_has_its_fields(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    written: list[bytes] = []
+
+    def write(number: int, data: bytes) -> int:
+        written.append(data)
+        return len(data)
+
+    monkeypatch.setattr(os, "write", write)
+    handler = logs.BoundedHandler()
+    monkeypatch.setattr(logs.structured, "handler", handler)
+    log = logs.get_logger("entry")
+    log.info("answered %d: %s", 503, "overloaded", request="r1")
+    log.info("100% of a line without arguments")
+    handler.write_out()
+    first, second = map(json.loads, b"".join(written).splitlines())
+    assert first.pop("time")
+    assert first == {
+        "level": "INFO",
+        "part": "entry",
+        "request": "r1",
+        "message": "entry: answered 503: overloaded",
+    }
+    assert second["message"] == "entry: 100% of a line without arguments"
+
+
 def test_output_that_takes_nothing_does_not_block(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -266,13 +266,14 @@
         (b"deadline-remaining-ms", b"99999"),
         (b"x", b"y"),
     ]
-    headers = messages.set_origin(sent, service="own")
-    headers = messages.make_target_headers(headers, remaining_ms=70, instance="i-1")
-    assert sorted(headers) == [
-        (b"caller-service", b"own"),
-        (b"deadline-remaining-ms", b"70"),
-        (b"expected-instance", b"i-1"),
-        (b"x", b"y"),
+    lines = messages.encode_request_headers(sent, service="own")
+    lines += messages.encode_target_headers(remaining_ms=70, instance="i-1")
+    assert sorted(lines.split(b"\r\n")) == [
+        b"",
+        b"caller-service: own",
+        b"deadline-remaining-ms: 70",
+        b"expected-instance: i-1",
+        b"x: y",
     ]
 
 
