Never name the lost home as witness of the replacement ticket

Ruled out: load at the live witness; its verdict came at once.

Change: the home that can't be reached is left out when the replacement's witness is chosen. The choice is a function of its own with tests. Two constants that nothing used go.

--- a/src/pimentoscale/serving/submission.py
+++ b/src/pimentoscale/serving/submission.py
@@ -41,8 +41,6 @@
 from pimentoscale.ticket.home import KeptAnswer, keep_answer
 from pimentoscale.timeline import EventName
 
-WITNESS_TIMEOUT_S = 0.5
-WITNESS_CANDIDATES = 3
 MAX_REPLACEMENTS = 4
 ANSWER_MARGIN_S = 0.25
 
@@ -84,9 +82,12 @@
         self._witnesses = witnesses
         self._runs: set[asyncio.Future[Any]] = set()
 
-    def issue(self, *, request: str, caller: str, kind: str) -> str:
-        """Return a new ticket with this node as home; empty without a witness."""
-        witness = self._witnesses.choose()
+    def issue(self, *, request: str, caller: str, kind: str, avoided: str = "") -> str:
+        """Return a new ticket with this node as home; empty without a witness.
+
+        `avoided` is an instance that is not to be the witness.
+        """
+        witness = self._witnesses.choose(avoided=avoided)
         if witness is None:
             return ""
         ticket = self._issuer.issue(
@@ -196,8 +197,12 @@
     async def _resolve(self, submission: Submission) -> Answer | str:
         """Ask the witness what becomes of a ticket whose home is out of reach."""
         ticket = submission.ticket
+        # The lost home still counts as connected until its silence is noticed.
         replacement = self.issue(
-            request=ticket.request, caller=ticket.caller, kind=ticket.kind
+            request=ticket.request,
+            caller=ticket.caller,
+            kind=ticket.kind,
+            avoided=ticket.home.instance,
         )
         if not replacement:
             return _end(ErrorKind.ALREADY_RAN, "home lost, and no other witness")
--- a/src/pimentoscale/serving/witnesses.py
+++ b/src/pimentoscale/serving/witnesses.py
@@ -100,19 +100,20 @@
             ruling=Ruling(frame.verdict), replacement=frame.replacement
         )
 
-    def choose(self) -> Holder | None:
-        """Return another live node of the zone, one of a fixed few."""
+    def choose(self, *, avoided: str = "") -> Holder | None:
+        """Return another live node of the zone, one of a fixed few.
+
+        `avoided` is an instance that is known to be out of reach.
+        """
         candidates = self._list_candidates()
-        connected = [
-            member
+        connected = {
+            member.instance
             for member in candidates
             if self._peers.open(member, Lane.CONTROL).is_up
-        ]
-        pool = connected or candidates
-        if not pool:
-            return None
-        chosen = self._source.choice(pool)
-        return Holder(instance=chosen.instance, incarnation=chosen.incarnation)
+        }
+        return choose_witness(
+            candidates, connected=connected, avoided=avoided, source=self._source
+        )
 
     def _list_candidates(self) -> list[Member]:
         directory = self._state.directory
@@ -131,6 +132,22 @@
         return self._candidates
 
 
+def choose_witness(
+    candidates: list[Member],
+    *,
+    connected: set[str],
+    avoided: str,
+    source: random.Random,
+) -> Holder | None:
+    """Return a candidate, a connected one if there is any, never the avoided one."""
+    allowed = [item for item in candidates if item.instance != avoided]
+    pool = [item for item in allowed if item.instance in connected] or allowed
+    if not pool:
+        return None
+    chosen = source.choice(pool)
+    return Holder(instance=chosen.instance, incarnation=chosen.incarnation)
+
+
 def _rank_candidate(own: str, other: str) -> int:
     """Return a rank by which each node has other witnesses."""
     return xxhash.xxh3_64_intdigest(f"{own}|{other}".encode())
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import base64
+import random
 
 import pytest
 from result import Err, Ok
 
 from pimentoscale.call import Answer
+from pimentoscale.membership import Member, MemberState
 from pimentoscale.outcome import Outcome
+from pimentoscale.serving.witnesses import choose_witness
+from pimentoscale.settings import Address
 from pimentoscale.ticket import (
     Holder,
     HomeLedger,
@@ -19,6 +23,42 @@
 from pimentoscale.ticket.home import KEPT_MARGIN_MS, MAX_KEPT_BODY_BYTES, keep_answer
 
 NOW_MS = 2_000
+CANDIDATES = [
+    Member(
+        instance=name,
+        incarnation=1,
+        sequence=0,
+        state=MemberState.ALIVE,
+        zone="z",
+        service="s",
+        slots=1,
+        http=Address(host="127.0.0.1", port=1),
+        stream=Address(host="127.0.0.1", port=1),
+    )
+    for name in ("a", "b", "c")
+]
+
+
+@pytest.mark.parametrize(
+    ("connected", "allowed"),
+    [({"a", "b"}, {"b"}), ({"a"}, {"b", "c"}), (set(), {"b", "c"})],
+)
+def test_witness_of_a_replacement_is_never_the_lost_home(
+    connected: set[str], allowed: set[str], source: random.Random
+) -> None:
+    chosen = {
+        choose_witness(CANDIDATES, connected=connected, avoided="a", source=source)
+        for _ in range(40)
+    }
+    assert {item.instance for item in chosen if item is not None} == allowed
+    assert None not in chosen
+
+
+def test_no_witness_is_found_where_only_the_lost_home_is_left(
+    source: random.Random,
+) -> None:
+    found = choose_witness(CANDIDATES[:1], connected={"a"}, avoided="a", source=source)
+    assert found is None
 
 
 def test_ticket_survives_writing_and_reading(
