Tell the submissions of a request apart in the audit

Cause: the recovery experiment exits 3 under policy none: a request whose first submission failed at its deadline begins to run while its second submission is refused. The audit could not tell which of the two ran.

Change: callers number their submissions in a header that upstreams record and copy to sub-calls. A run contradicts a refusal if it is of the refused submission, whenever it begins (before: only until the answer), or names none; for non-idempotent requests any run of the request up to the refusal does, as before.

--- a/src/pimentoscale_bench/audit.py
+++ b/src/pimentoscale_bench/audit.py
@@ -14,10 +14,14 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Run:
-    """One start of a run, as an upstream recorded it."""
+    """One start of a run, as an upstream recorded it.
+
+    `submission` names the caller's submission that caused it; empty if not known.
+    """
 
     request: str
     kind: str
+    submission: str
     at: float
 
 
@@ -51,9 +55,10 @@
     runs: list[Run] = []
     for file in files:
         for line in file.read_text().splitlines():
-            event, request, kind, at = json.loads(line)
+            event, request, kind, submission, at = json.loads(line)
             if event == "start":
-                runs.append(Run(request=request, kind=kind, at=at))
+                run = Run(request=request, kind=kind, submission=submission, at=at)
+                runs.append(run)
     return runs
 
 
@@ -77,26 +82,30 @@
     return report
 
 
-def _get_first_relevant(
-    call: CallRecord, attempt: Attempt, kinds: dict[str, KindPlan]
-) -> float:
-    """Return the time from which a run contradicts a refusal.
+def contradicts(run: Run, attempt: Attempt, *, idempotent: bool) -> bool:
+    """Tell whether a run shows that a refused submission was not refused.
 
     A caller that sends an idempotent request again under its id was told that the
-    earlier submission had failed; only runs of the refused one contradict it. For a
-    non-idempotent request every run does.
+    earlier submission had failed, and a run of that one may begin late; only runs of
+    the refused submission contradict it, whenever they begin. For a non-idempotent
+    request every run of the request up to the refusal does as well.
     """
-    return attempt.started if kinds[call.kind].idempotent else 0.0
+    if run.submission in ("", attempt.submission):
+        return True
+    return not idempotent and run.at <= attempt.ended + CLOCK_MARGIN_S
 
 
 def _describe(call: CallRecord, tree: list[Run]) -> str:
     """Return a call's submissions and runs, in seconds from its start."""
     attempts = [
-        f"{attempt.outcome} {attempt.error} {attempt.started - call.started:.3f}"
+        f"{attempt.submission} {attempt.outcome} {attempt.error} "
+        f"{attempt.started - call.started:.3f}"
         f"-{attempt.ended - call.started:.3f}"
         for attempt in call.attempts
     ]
-    runs = [f"{run.request} {run.at - call.started:.3f}" for run in tree]
+    runs = [
+        f"{run.request} {run.submission} {run.at - call.started:.3f}" for run in tree
+    ]
     return f"{call.request} {call.kind}: {attempts}; runs {runs}"
 
 
@@ -112,9 +121,8 @@
         if not attempt.is_whole:
             report.damaged.append(call.request)
         if attempt.outcome == "refused":
-            first = _get_first_relevant(call, attempt, kinds)
-            limit = attempt.ended + CLOCK_MARGIN_S
-            if any(first <= run.at <= limit for run in tree):
+            idempotent = kinds[call.kind].idempotent
+            if any(contradicts(run, attempt, idempotent=idempotent) for run in tree):
                 report.refused_but_ran.append(_describe(call, tree))
         if attempt.version and attempt.version < version:
             report.reverted.append(call.request)
--- a/src/pimentoscale_bench/caller.py
+++ b/src/pimentoscale_bench/caller.py
@@ -22,6 +22,9 @@
 DIGEST_HEX = 32
 TICKET_REQUIRED_STATUS = 428
 LOST = "lost"
+# Tells the submissions of one request apart in the records of upstreams, which copy it
+# to their sub-calls.
+SUBMISSION_HEADER = b"x-submission"
 MAX_SUBMISSIONS = 4
 RESUBMIT_PAUSE_S = 0.2
 BODIES = 4
@@ -36,6 +39,7 @@
     """
 
     request: str
+    submission: str
     kind: str
     started: float
     ended: float
@@ -95,6 +99,7 @@
         self._hard_retries = hard_retries
         self._bodies: dict[str, list[bytes]] = {}
         self._count = 0
+        self._sent = 0
         self.calls: list[CallRecord] = []
 
     async def call(
@@ -142,13 +147,19 @@
     async def send(self, kind: str, request: str, body: bytes, ticket: str) -> Attempt:
         """Send one submission and check what comes back."""
         pool = self._source.choice(self._entries)
+        self._sent += 1
         attempt = Attempt(
-            request=request, kind=kind, started=time.time(), ended=0.0, outcome=LOST
+            request=request,
+            submission=f"{self._prefix}.{self._sent}",
+            kind=kind,
+            started=time.time(),
+            ended=0.0,
+            outcome=LOST,
         )
         call = CallRequest(
             method="POST",
             path=f"/call/run/{kind}",
-            headers=self._make_headers(kind, request, ticket),
+            headers=self._make_headers(attempt, ticket),
             body=Body.of(body),
             body_bytes=len(body),
         )
@@ -164,11 +175,12 @@
         for pool in self._entries:
             pool.close()
 
-    def _make_headers(self, kind: str, request: str, ticket: str) -> list[Header]:
+    def _make_headers(self, attempt: Attempt, ticket: str) -> list[Header]:
         headers = [
-            (head.KIND, kind.encode()),
-            (head.REQUEST, request.encode()),
+            (head.KIND, attempt.kind.encode()),
+            (head.REQUEST, attempt.request.encode()),
             (head.CALLER, self._name.encode()),
+            (SUBMISSION_HEADER, attempt.submission.encode()),
         ]
         if ticket:
             headers.append((head.TICKET, ticket.encode()))
--- a/src/pimentoscale_bench/upstream.py
+++ b/src/pimentoscale_bench/upstream.py
@@ -21,6 +21,7 @@
     UpstreamBrokenError,
     UpstreamUnreachableError,
 )
+from pimentoscale_bench.caller import SUBMISSION_HEADER
 from pimentoscale_bench.deployment import KindPlan, read_deployment
 
 app = cyclopts.App(name="pimento-upstream", help=__doc__)
@@ -52,9 +53,11 @@
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         self._file = os.open(path, flags, 0o644)
 
-    def write(self, event: str, *, request: str, kind: str) -> None:
+    def write(
+        self, event: str, *, request: str, kind: str, submission: str = ""
+    ) -> None:
         """Write one line with the wall time in seconds."""
-        line = json.dumps([event, request, kind, time.time()]) + "\n"
+        line = json.dumps([event, request, kind, submission, time.time()]) + "\n"
         os.write(self._file, line.encode())
 
 
@@ -96,7 +99,8 @@
     ) -> None:
         headers = dict(scope["headers"])
         request = headers.get(b"pimento-request-id", b"").decode()
-        self._record.write("start", request=request, kind=kind)
+        submission = headers.get(SUBMISSION_HEADER, b"").decode()
+        self._record.write("start", request=request, kind=kind, submission=submission)
         if self.faults.sheds:
             await _respond(send, 503, b"shed", {})
             return
@@ -127,6 +131,7 @@
             headers=[
                 (b"pimento-kind", kind.encode()),
                 (b"pimento-token", headers.get(b"pimento-token", b"")),
+                (SUBMISSION_HEADER, headers.get(SUBMISSION_HEADER, b"")),
             ],
             body=Body.of(b""),
             body_bytes=0,
