Learn which targets end the trees of calls; offer work to shedding targets at last

A target that had shed was not tried at all for 0.1 to 2 s, even if all others had as well.

Change: a target ends its trees if calls are under 0.05 of its runs. A shed adds a penalty instead of leaving the target out: a shed request has not run and costs no repeat by itself.

--- a/src/pimentoscale/forwarding/entry.py
+++ b/src/pimentoscale/forwarding/entry.py
@@ -278,7 +278,9 @@
             return
         if error.kind in _REFUSED and not forward.is_inner:
             view.note_refusal(route=forward.route, now=now)
-        if error.kind in _AVOIDED:
+        if error.kind is ErrorKind.UPSTREAM_SHED:
+            view.note_shed(now=now)
+        elif error.kind in _AVOIDED:
             view.note_unreachable(now=now)
         log.info(
             "attempt at %s: %s %s %s arrived=%s in_flight=%s",
@@ -308,7 +310,6 @@
     ErrorKind.PEER_UNREACHABLE,
     ErrorKind.PEER_LOST,
     ErrorKind.UPSTREAM_UNREACHABLE,
-    ErrorKind.UPSTREAM_SHED,
     ErrorKind.NO_TARGET,
     ErrorKind.DRAINING,
 )
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -135,7 +135,7 @@
         self.links.on_draining = self._note_stopping
         self._outgoing.on_closed = self.entry.origins.forget
         self.target.find_rank = self.entry.find_rank
-        self.target.makes_calls = self.entry.origins.has_inner
+        self.target.count_calls = self.entry.origins.count_inner
         self.entry.origins.on_found = self._tell_callers_route
         self.registry.on_callers_route = self._add_callers_route
         self.links.on_routes_found = self.entry.origins.add_callers_routes
--- a/src/pimentoscale/forwarding/origins.py
+++ b/src/pimentoscale/forwarding/origins.py
@@ -78,9 +78,13 @@
             return False
         return self._sightings.get(route, 0) >= INNER_SIGHTINGS
 
-    def has_inner(self) -> bool:
-        """Tell whether the own target may have made calls."""
-        return any(route not in self._callers_routes for route in self._sightings)
+    def count_inner(self) -> int:
+        """Return how many requests may have been calls of the own target."""
+        return sum(
+            count
+            for route, count in self._sightings.items()
+            if route not in self._callers_routes
+        )
 
     def is_returning(self, route: str, *, remaining_s: float) -> bool:
         """Tell whether a caller has been here before, by the time that it has left."""
--- a/src/pimentoscale/forwarding/placement.py
+++ b/src/pimentoscale/forwarding/placement.py
@@ -29,6 +29,9 @@
 # greatest while it goes on.
 AVOID_MIN_S = 0.1
 AVOID_MAX_S = 2.0
+# Added for a target that has just shed: it is used only where there is no other that
+# works. A request that it sheds has not run, so one that has no other is offered there.
+SHED_PENALTY_MS = 20_000.0
 # Added for a node that is about to stop: it is used only where there is no other.
 STOPPING_PENALTY_MS = 60_000.0
 # A refusal of a route holds for so long: a refusal that is known costs no hop.
@@ -65,6 +68,7 @@
     load: Load | None = None
     load_at: float = 0.0
     avoid_until: float = 0.0
+    shed_until: float = 0.0
     failures: int = 0
     is_stopping: bool = False
     runs: dict[str, RunTime] = field(default_factory=dict)
@@ -79,6 +83,7 @@
         """Learn from an answer how long the target takes for a route."""
         self.failures = 0
         self.avoid_until = 0.0
+        self.shed_until = 0.0
         known = self.runs.get(route)
         if known is None:
             self.runs[route] = RunTime(value_ms=run_ms, at=now)
@@ -92,9 +97,17 @@
 
     def note_unreachable(self, *, now: float) -> None:
         """Leave the target out for a while."""
-        pause_s = min(AVOID_MAX_S, AVOID_MIN_S * 2**self.failures)
+        self.avoid_until = now + self._find_pause_s()
+
+    def note_shed(self, *, now: float) -> None:
+        """Use the target only where there is no other, for a while."""
+        self.shed_until = now + self._find_pause_s()
+
+    def _find_pause_s(self) -> float:
+        """Return how long to stay away; each failure in a row doubles it."""
+        pause_s = min(AVOID_MAX_S, AVOID_MIN_S * 2.0**self.failures)
         self.failures += 1
-        self.avoid_until = now + pause_s
+        return pause_s
 
     def estimate_busy(self, *, now: float) -> float:
         """Return how many requests are at the target, queued ones too."""
@@ -205,4 +218,6 @@
             penalty_ms = max(penalty_ms, stay_ms - run_ms - queue_ms)
         if view.is_stopping:
             penalty_ms += STOPPING_PENALTY_MS
+        if now < view.shed_until:
+            penalty_ms += SHED_PENALTY_MS
         return run_ms + queue_ms + penalty_ms
--- a/src/pimentoscale/forwarding/retries.py
+++ b/src/pimentoscale/forwarding/retries.py
@@ -13,6 +13,16 @@
 # which causes none, keep to the whole.
 INNER_SHARE = 0.15
 LAST_SHARE = 0.55
+# After so many runs a target is known to call others or to be the end of its trees.
+LEAF_RUNS = 200
+# Calls for each run up to which it is the end: some requests of callers can't be told
+# from calls, such as those on routes that have just been added.
+LEAF_CALLS_SHARE = 0.05
+
+
+def may_call(*, runs: int, calls: int) -> bool:
+    """Tell whether a run of a target may call other services."""
+    return runs < LEAF_RUNS or calls > LEAF_CALLS_SHARE * runs
 
 
 class RetryBudget:
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -22,6 +22,7 @@
     ForwardRequest,
     Messages,
 )
+from pimentoscale.forwarding.retries import may_call
 from pimentoscale.forwarding.settings import SidecarSettings
 from pimentoscale.http import (
     AnswerBrokenError,
@@ -57,8 +58,6 @@
 # A request is due after this part of the time that its sender still waits.
 DUE_SHARE = 0.5
 FIRST_FAILURE = 500
-# A target that has called nobody after so many runs is the end of its trees of calls.
-LEAF_RUNS = 200
 CONNECTIONS_SPARE = 2
 
 log = get_logger("target")
@@ -85,7 +84,7 @@
         self.in_progress = 0
         self._runs = 0
         self.find_rank: Callable[[int], float] = lambda importance: 0.0
-        self.makes_calls: Callable[[], bool] = lambda: True
+        self.count_calls: Callable[[], int] = lambda: 0
         self.on_news: Callable[[], None] | None = None
 
     def announce(self, announcement: UpstreamAnnouncement, *, now: float) -> Admittance:
@@ -200,7 +199,7 @@
             self.on_news()
 
     def _report(self, attempt: Attempt) -> Attempt:
-        attempt.calls_others = self._runs < LEAF_RUNS or self.makes_calls()
+        attempt.calls_others = may_call(runs=self._runs, calls=self.count_calls())
         attempt.load = self.report_load(now=asyncio.get_running_loop().time())
         return attempt
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -23,8 +23,18 @@
     START_S,
     OriginTracker,
 )
-from pimentoscale.forwarding.placement import NodeView, Placement, PlacementRequest
-from pimentoscale.forwarding.retries import INNER_SHARE, LAST_SHARE, RetryBudget
+from pimentoscale.forwarding.placement import (
+    AVOID_MIN_S,
+    NodeView,
+    Placement,
+    PlacementRequest,
+)
+from pimentoscale.forwarding.retries import (
+    INNER_SHARE,
+    LAST_SHARE,
+    RetryBudget,
+    may_call,
+)
 from pimentoscale.membership import Member, MemberState
 from pimentoscale.membership.upstream import (
     Admittance,
@@ -334,6 +344,17 @@
     assert placement.choose([lost], request, tried=(), now=9.0) is lost
 
 
+def test_target_that_sheds_is_used_only_where_there_is_no_other() -> None:
+    placement, request = make_placement()
+    shedding, far = make_view("shedding"), make_view("far", zone="b")
+    shedding.note_shed(now=1.0)
+    assert placement.choose([shedding, far], request, tried=(), now=1.0) is far
+    far.note_shed(now=1.0)
+    assert placement.choose([shedding, far], request, tried=(), now=1.0) is shedding
+    later = 1.0 + AVOID_MIN_S
+    assert placement.choose([shedding, far], request, tried=(), now=later) is shedding
+
+
 def test_node_that_stops_is_used_only_where_there_is_no_other() -> None:
     placement, request = make_placement()
     stopping, far = make_view("stopping"), make_view("far", zone="b")
@@ -356,6 +377,30 @@
     assert allowed <= 0.2 * share * requests + 2.0
 
 
+@pytest.mark.parametrize(
+    ("runs", "calls", "expected"),
+    [
+        (0, 0, True),
+        (199, 0, True),
+        (1000, 0, False),
+        (1000, 30, False),
+        (1000, 200, True),
+    ],
+)
+def test_few_requests_that_look_like_calls_do_not_make_a_caller(
+    runs: int, calls: int, expected: bool
+) -> None:
+    assert may_call(runs=runs, calls=calls) is expected
+
+
+def test_requests_on_callers_routes_are_no_calls() -> None:
+    origins = OriginTracker(now=0.0)
+    for route, connection in (("probe", 1), ("ledger", 2), ("ledger", 2), ("view", 3)):
+        origins.note(connection=connection, route=route, target_idle_s=0.0, now=9.0)
+    origins.add_callers_routes(["view"])
+    assert origins.count_inner() == 3
+
+
 def test_budget_is_renewed_as_the_window_slides() -> None:
     budget = RetryBudget(ratio=0.2, slack=1.0, window_s=10.0)
     times = (0.0, 5.0, 10.5)
