Let less important trees make room for a strained route elsewhere

Ruled out: reading the root from calls' ids (undocumented); cutting all less important routes (uploads use nothing that is full); a graph of calls by regression (errors of 1.5 calls a run after 20 s).

Change: a node whose callers' route fails or takes 0.75 of its objective in a fifth of its answers tells the nodes to which it has streams, every 0.25 s. There a less important route that is slower than usual by half is cut by a quarter every 0.4 s. The most important route waits 1.6 s between its own cuts. A model of trees over a narrow service plays this in tests.

--- a/src/pimentoscale/forwarding/links.py
+++ b/src/pimentoscale/forwarding/links.py
@@ -15,6 +15,7 @@
     PeerUnreachableError,
     Records,
     Slow,
+    Strained,
 )
 
 # How long a request waits for a stream that is being opened; a connect and a greeting
@@ -148,6 +149,12 @@
         for peer in self._peers.values():
             peer.send(frame)
 
+    def send_strained(self, importance: int) -> None:
+        """Tell the nodes to which there is a stream that a route is strained here."""
+        frame = Strained(importance=importance)
+        for peer in self._peers.values():
+            peer.send(frame)
+
     def on_slow(self, *, remote: Hello, frame: Slow) -> None:
         """Ignore: run times come with answers."""
 
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -140,6 +140,8 @@
         self.registry.on_callers_route = self._add_callers_route
         self.links.on_routes_found = self.entry.origins.add_callers_routes
         self.receiver.list_callers_routes = self.entry.origins.list_callers_routes
+        self.receiver.on_strained = self._make_room
+        self._strained: int | None = None
 
     async def start(self) -> None:
         """Listen, and start the tasks that keep the node informed."""
@@ -204,6 +206,19 @@
     def _add_callers_route(self, route: str) -> None:
         self.entry.origins.add_callers_routes([route])
 
+    def _make_room(self, importance: int) -> None:
+        self.target.make_room(importance, now=asyncio.get_running_loop().time())
+
+    def _tell_strained(self, now: float) -> None:
+        """Tell the other nodes while a callers' route fails or is late here."""
+        strained = self.target.find_strained(now=now)
+        if strained is not None:
+            self.target.make_room(strained, now=now)
+            self.links.send_strained(strained)
+        if strained != self._strained:
+            log.info("strained importance=%s before=%s", strained, self._strained)
+            self._strained = strained
+
     async def _tell_ready(self, request: HttpRequest) -> HttpResponse:
         is_ready = self.state.table is not None and not self.state.is_stopping
         return HttpResponse(status=200 if is_ready else 503)
@@ -269,6 +284,7 @@
             self.receiver.close_silent(now=now)
             self.links.close_idle(now=now)
             self.target.close_idle(now=now)
+            self._tell_strained(now)
 
     async def _stop_when_idle(self) -> None:
         loop = asyncio.get_running_loop()
--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -24,6 +24,7 @@
     Leaving,
     Listener,
     RoutesCopy,
+    Strained,
 )
 from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
 
@@ -57,6 +58,7 @@
         self._listener = Listener(accept=self._accept)
         self.is_refusing = False
         self.list_callers_routes: Callable[[], list[str]] = list
+        self.on_strained: Callable[[int], None] = lambda importance: None
 
     @property
     def in_progress(self) -> int:
@@ -132,6 +134,8 @@
                 self._links.on_heartbeat(remote=session.remote, frame=frame)
             case CallersRoutes():
                 self._links.on_callers_routes(frame=frame)
+            case Strained():
+                self.on_strained(frame.importance)
             case FetchRoutes():
                 session.connection.send(
                     RoutesCopy(query=frame.query, data=self._state.record)
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -118,6 +118,14 @@
         """Return the load for an answer."""
         return self._admission.report(now=now)
 
+    def find_strained(self, *, now: float) -> int | None:
+        """Return the importance of the most important route that is strained here."""
+        return self._roots.find_strained(now=now)
+
+    def make_room(self, importance: int, *, now: float) -> None:
+        """Let less important routes make room for one that is strained somewhere."""
+        self._roots.press(importance, now=now)
+
     def close_idle(self, *, now: float) -> None:
         """Close connections that have been idle for too long."""
         self._client.close_idle(now=now)
@@ -180,14 +188,18 @@
         if response is None and attempt.outcome is AttemptOutcome.NOT_RUN:
             return
         now = asyncio.get_running_loop().time()
-        self._roots.observe(
+        is_cut = self._roots.observe(
             request.route,
             elapsed_s=now - started,
             objective_s=request.objective_s,
             failed=response is None or response.status >= FIRST_FAILURE,
             rank=self.find_rank(request.importance),
+            importance=request.importance,
             now=now,
         )
+        if is_cut:
+            described = self._roots.describe(request.route)
+            log.info("limit of route %s cut: %s", request.route, described)
 
     def _follow_news(self, slots: int, now: float) -> None:
         if slots != self._slots and slots > 0:
--- a/src/pimentoscale/stream/__init__.py
+++ b/src/pimentoscale/stream/__init__.py
@@ -23,6 +23,7 @@
     ResolveTicket,
     RoutesCopy,
     Slow,
+    Strained,
     Verdict,
 )
 from pimentoscale.stream.peer import Peer, PeerLostError, PeerUnreachableError
@@ -54,6 +55,7 @@
     "ResolveTicket",
     "RoutesCopy",
     "Slow",
+    "Strained",
     "Verdict",
     "connect",
     "decode_frame",
--- a/src/pimentoscale/stream/frames.py
+++ b/src/pimentoscale/stream/frames.py
@@ -308,3 +308,11 @@
     """Names of routes that the sender has found to be used by callers."""
 
     routes: list[str]
+
+
+@register_frame(21)
+@dataclass(slots=True, kw_only=True)
+class Strained(Frame):
+    """A callers' route of this importance fails or is late at the sender's target."""
+
+    importance: int
--- /dev/null
+++ b/tests/tree_model.py
@@ -0,0 +1,164 @@
+"""A small model of trees of calls over one narrow service, in simulated time.
+
+Callers' requests run at wide services and call the narrow one several times in turn.
+The product's own limits for callers decide what is let in; the rest is a queue.
+"""
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from pimentoscale.admission import RootLimits
+
+TICK_S = 0.25
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Tree:
+    """A kind of request of callers: times in seconds, `rate` for each second."""
+
+    name: str
+    importance: int
+    rank: float
+    rate: float
+    work_s: float
+    calls: int
+    objective_s: float
+    timeout_s: float
+
+
+@dataclass(slots=True, kw_only=True)
+class Count:
+    """What became of the requests of one kind."""
+
+    asked: int = 0
+    refused: int = 0
+    good: int = 0
+    failed: int = 0
+
+    @property
+    def share(self) -> float:
+        """Return the part that was answered within its objective."""
+        return self.good / max(1, self.asked)
+
+
+@dataclass(slots=True, kw_only=True)
+class _Request:
+    tree: Tree
+    started: float
+    left: int
+    is_over: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class TreeModel:
+    """Plays trees for some seconds; each kind has a node with limits of its own.
+
+    `surge` multiplies all rates from `surge_from` until `surge_until`, in seconds.
+    """
+
+    trees: list[Tree]
+    slots: int
+    call_s: float
+    source: random.Random
+    shares_pressure: bool
+    surge: float
+    surge_from: float
+    surge_until: float
+    counts: dict[str, Count] = field(default_factory=dict)
+    now: float = 0.0
+    _events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    _number: int = 0
+    _busy: int = 0
+    _queue: deque[_Request] = field(default_factory=deque)
+    _limits: dict[str, RootLimits] = field(default_factory=dict)
+
+    def play(self, *, seconds: float) -> dict[str, Count]:
+        """Return what became of each kind of request."""
+        for tree in self.trees:
+            self.counts[tree.name] = Count()
+            self._limits[tree.name] = RootLimits(most=1000)
+            self._arrive_later(tree)
+        self._at(TICK_S, self._exchange_pressure)
+        while self._events and self._events[0][0] < seconds:
+            self.now, _, happen = heapq.heappop(self._events)
+            happen()
+        return self.counts
+
+    def _at(self, delay_s: float, happen: Callable[[], None]) -> None:
+        self._number += 1
+        heapq.heappush(self._events, (self.now + delay_s, self._number, happen))
+
+    def _arrive_later(self, tree: Tree) -> None:
+        is_surge = self.surge_from <= self.now < self.surge_until
+        rate = tree.rate * (self.surge if is_surge else 1.0)
+        self._at(self.source.expovariate(rate), lambda: self._arrive(tree))
+
+    def _arrive(self, tree: Tree) -> None:
+        self._arrive_later(tree)
+        count = self.counts[tree.name]
+        count.asked += 1
+        if not self._limits[tree.name].try_start(tree.name):
+            count.refused += 1
+            return
+        request = _Request(tree=tree, started=self.now, left=tree.calls)
+        work_s = tree.work_s * self.source.lognormvariate(-0.125, 0.5)
+        self._at(work_s, lambda: self._go_on(request))
+        self._at(tree.timeout_s, lambda: self._end(request, failed=True))
+
+    def _go_on(self, request: _Request) -> None:
+        if request.is_over:
+            return
+        if request.left == 0:
+            self._end(request, failed=False)
+            return
+        request.left -= 1
+        self._queue.append(request)
+        self._start_calls()
+
+    def _start_calls(self) -> None:
+        while self._queue and self._busy < self.slots:
+            request = self._queue.popleft()
+            if request.is_over:
+                continue
+            self._busy += 1
+            run_s = self.call_s * self.source.lognormvariate(-0.125, 0.5)
+            self._at(run_s, lambda item=request: self._end_call(item))  # type: ignore[misc]
+
+    def _end_call(self, request: _Request) -> None:
+        self._busy -= 1
+        self._go_on(request)
+        self._start_calls()
+
+    def _end(self, request: _Request, *, failed: bool) -> None:
+        if request.is_over:
+            return
+        request.is_over = True
+        tree = request.tree
+        elapsed_s = self.now - request.started
+        count = self.counts[tree.name]
+        count.failed += failed
+        count.good += not failed and elapsed_s <= tree.objective_s
+        limits = self._limits[tree.name]
+        limits.end(tree.name)
+        limits.observe(
+            tree.name,
+            elapsed_s=elapsed_s,
+            objective_s=min(tree.objective_s, tree.timeout_s),
+            failed=failed,
+            rank=tree.rank,
+            importance=tree.importance,
+            now=self.now,
+        )
+
+    def _exchange_pressure(self) -> None:
+        self._at(TICK_S, self._exchange_pressure)
+        if not self.shares_pressure:
+            return
+        strained = [item.find_strained(now=self.now) for item in self._limits.values()]
+        for limits in self._limits.values():
+            for importance in strained:
+                if importance is not None:
+                    limits.press(importance, now=self.now)
