--- a/src/pimentoscale/serving/router.py
+++ b/src/pimentoscale/dispatch/router.py
@@ -7,16 +7,16 @@
 from pimentoscale.admission import Load
 from pimentoscale.call import Answer, BodyBrokenError, CallContext, CallRequest
 from pimentoscale.configuration import Kind
+from pimentoscale.dispatch.frames import make_call, read_reply
+from pimentoscale.dispatch.runner import UpstreamRunner
+from pimentoscale.dispatch.selection import TargetSelector
 from pimentoscale.errors import CallError, ErrorKind
 from pimentoscale.logs import get_logger
+from pimentoscale.node.state import NodeState
 from pimentoscale.outcome import Outcome
+from pimentoscale.peering.peers import Lane, PeerBook
 from pimentoscale.policy import PER_HOP_RETRIES, RetryRule
 from pimentoscale.routing import HedgeBudget, Target
-from pimentoscale.serving.frames import make_call, read_reply
-from pimentoscale.serving.peers import Lane, PeerBook
-from pimentoscale.serving.runner import UpstreamRunner
-from pimentoscale.serving.selection import TargetSelector
-from pimentoscale.serving.state import NodeState
 from pimentoscale.stream import Peer, PeerLostError, PeerUnreachableError
 from pimentoscale.timeline import EventName
 
--- a/src/pimentoscale/serving/runner.py
+++ b/src/pimentoscale/dispatch/runner.py
@@ -23,11 +23,11 @@
 )
 from pimentoscale.configuration import Configuration, Kind
 from pimentoscale.errors import CallError, ErrorKind
+from pimentoscale.ingress import head
 from pimentoscale.logs import get_logger
+from pimentoscale.node.state import NodeState
 from pimentoscale.outcome import Outcome
 from pimentoscale.routing import UsualTimes
-from pimentoscale.serving import head
-from pimentoscale.serving.state import NodeState
 from pimentoscale.settings import Address
 from pimentoscale.timeline import EventName
 from pimentoscale.upstream import (
--- a/src/pimentoscale/serving/selection.py
+++ b/src/pimentoscale/dispatch/selection.py
@@ -9,7 +9,9 @@
 from pimentoscale.configuration import Kind
 from pimentoscale.errors import CallError, ErrorKind
 from pimentoscale.membership import Member, MemberState
+from pimentoscale.node.state import NodeState
 from pimentoscale.outcome import Outcome
+from pimentoscale.peering.peers import PeerBook
 from pimentoscale.routing import (
     ChoiceRequest,
     Target,
@@ -17,8 +19,6 @@
     UsualTimes,
     make_choice,
 )
-from pimentoscale.serving.peers import PeerBook
-from pimentoscale.serving.state import NodeState
 from pimentoscale.stream import Hello, Peer, Slow
 from pimentoscale.timeline import EventName
 
--- a/src/pimentoscale/serving/submission.py
+++ b/src/pimentoscale/dispatch/submission.py
@@ -16,15 +16,15 @@
     collect_body,
 )
 from pimentoscale.configuration import Kind
+from pimentoscale.dispatch.frames import make_call, read_reply
+from pimentoscale.dispatch.router import Router
+from pimentoscale.dispatch.witnesses import Witnesses
 from pimentoscale.errors import CallError, ErrorKind
 from pimentoscale.logs import get_logger
 from pimentoscale.membership import Member
+from pimentoscale.node.state import NodeState, get_wall_ms
 from pimentoscale.outcome import Outcome
-from pimentoscale.serving.frames import make_call, read_reply
-from pimentoscale.serving.peers import Lane, PeerBook
-from pimentoscale.serving.router import Router
-from pimentoscale.serving.state import NodeState, get_wall_ms
-from pimentoscale.serving.witnesses import Witnesses
+from pimentoscale.peering.peers import Lane, PeerBook
 from pimentoscale.stream import (
     PeerLostError,
     PeerUnreachableError,
--- a/src/pimentoscale/serving/witnesses.py
+++ b/src/pimentoscale/dispatch/witnesses.py
@@ -7,8 +7,8 @@
 
 from pimentoscale.logs import get_logger
 from pimentoscale.membership import Member, MemberState
-from pimentoscale.serving.peers import Lane, PeerBook
-from pimentoscale.serving.state import NodeState, get_wall_ms
+from pimentoscale.node.state import NodeState, get_wall_ms
+from pimentoscale.peering.peers import Lane, PeerBook
 from pimentoscale.stream import (
     PeerLostError,
     PeerUnreachableError,
--- a/src/pimentoscale/serving/log_tasks.py
+++ b/src/pimentoscale/distribution/log_tasks.py
@@ -14,6 +14,7 @@
     Record,
     encode_record,
 )
+from pimentoscale.distribution.tree import Distribution
 from pimentoscale.logs import get_logger
 from pimentoscale.membership import (
     Member,
@@ -21,9 +22,8 @@
     decode_roster,
     encode_roster,
 )
-from pimentoscale.serving.distribution import Distribution
-from pimentoscale.serving.overlay import Overlay
-from pimentoscale.serving.state import NodeState
+from pimentoscale.node.state import NodeState
+from pimentoscale.peering.overlay import Overlay
 from pimentoscale.store import (
     RecordPage,
     RecordStore,
--- a/src/pimentoscale/serving/patches.py
+++ b/src/pimentoscale/distribution/patches.py
@@ -10,8 +10,8 @@
     PatchRecord,
     encode_record,
 )
-from pimentoscale.serving.log_tasks import CONFIGURATION_STREAM
-from pimentoscale.serving.state import get_wall_ms
+from pimentoscale.distribution.log_tasks import CONFIGURATION_STREAM
+from pimentoscale.node.state import get_wall_ms
 from pimentoscale.store import RecordStore, StoreError
 
 APPEND_TRIES = 5
--- a/src/pimentoscale/serving/distribution.py
+++ b/src/pimentoscale/distribution/tree.py
@@ -7,10 +7,10 @@
 
 from pimentoscale.configuration import Configuration, ConfigurationFeed, encode_record
 from pimentoscale.logs import get_logger
-from pimentoscale.serving.overlay import Overlay
-from pimentoscale.serving.pause import PauseDetector
-from pimentoscale.serving.peers import MAX_AGE_MS, Lane, PeerBook
-from pimentoscale.serving.state import NodeState
+from pimentoscale.node.pause import PauseDetector
+from pimentoscale.node.state import NodeState
+from pimentoscale.peering.overlay import Overlay
+from pimentoscale.peering.peers import MAX_AGE_MS, Lane, PeerBook
 from pimentoscale.stream import (
     Connection,
     FetchRecords,
--- /dev/null
+++ b/src/pimentoscale/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Where callers and upstreams send their calls: HTTP, headers and control."""
--- a/src/pimentoscale/serving/control.py
+++ b/src/pimentoscale/ingress/control.py
@@ -7,7 +7,7 @@
 from litestar import Response, get, post
 from litestar.datastructures import State
 
-from pimentoscale.serving.patches import PatchSubmission
+from pimentoscale.distribution.patches import PatchSubmission
 from pimentoscale.timeline import Event
 
 
--- a/src/pimentoscale/serving/endpoint.py
+++ b/src/pimentoscale/ingress/endpoint.py
@@ -9,10 +9,10 @@
 
 from pimentoscale.call import Answer, Body, BodyBrokenError, CallRequest
 from pimentoscale.errors import ANSWERS, CallError, ErrorKind
+from pimentoscale.ingress.entry import CallEntry
+from pimentoscale.ingress.head import CallHead, read_head, write_head
 from pimentoscale.logs import get_logger
-from pimentoscale.serving.entry import CallEntry
-from pimentoscale.serving.head import CallHead, read_head, write_head
-from pimentoscale.serving.state import NodeState
+from pimentoscale.node.state import NodeState
 
 Message = Any
 Receive = Callable[[], Awaitable[Any]]
--- a/src/pimentoscale/serving/entry.py
+++ b/src/pimentoscale/ingress/entry.py
@@ -10,13 +10,13 @@
     RetryBudget,
 )
 from pimentoscale.configuration import Kind
+from pimentoscale.dispatch.router import Router
+from pimentoscale.dispatch.runner import UpstreamRunner
+from pimentoscale.dispatch.submission import Submissions
 from pimentoscale.errors import CallError, ErrorKind
-from pimentoscale.serving.head import CallHead
-from pimentoscale.serving.pause import PauseDetector
-from pimentoscale.serving.router import Router
-from pimentoscale.serving.runner import UpstreamRunner
-from pimentoscale.serving.state import NodeState
-from pimentoscale.serving.submission import Submissions
+from pimentoscale.ingress.head import CallHead
+from pimentoscale.node.pause import PauseDetector
+from pimentoscale.node.state import NodeState
 from pimentoscale.timeline import EventName
 
 
--- /dev/null
+++ b/src/pimentoscale/node/__init__.py
@@ -0,0 +1,1 @@
+"""One node process: its state, its pauses, and how its parts are wired."""
--- a/src/pimentoscale/serving/node.py
+++ b/src/pimentoscale/node/node.py
@@ -9,33 +9,33 @@
 import msgspec
 
 from pimentoscale.configuration import ConfigurationFeed
+from pimentoscale.dispatch.router import Router
+from pimentoscale.dispatch.runner import UpstreamRunner
+from pimentoscale.dispatch.selection import TargetSelector
+from pimentoscale.dispatch.submission import Submissions
+from pimentoscale.dispatch.witnesses import Witnesses
+from pimentoscale.distribution.log_tasks import LogTasks
+from pimentoscale.distribution.patches import (
+    PatchStatus,
+    PatchSubmission,
+    describe_patch,
+    submit_patch,
+)
+from pimentoscale.distribution.tree import Distribution
+from pimentoscale.ingress.control import MemberStatus, NodeStatus, TargetStatus
+from pimentoscale.ingress.endpoint import CallEndpoint
+from pimentoscale.ingress.entry import CallEntry
 from pimentoscale.logs import get_logger
 from pimentoscale.membership import Directory, Member, MemberState
 from pimentoscale.metrics import Gauge, Metrics
+from pimentoscale.node.pause import TICK_S, PauseDetector
+from pimentoscale.node.state import NodeState, get_wall_ms, make_own_member
+from pimentoscale.peering.acceptor import Acceptor
+from pimentoscale.peering.overlay import Overlay
+from pimentoscale.peering.peers import PeerBook
 from pimentoscale.platform.store import StoreClient
 from pimentoscale.policy import PolicyMode
 from pimentoscale.routing import Target
-from pimentoscale.serving.acceptor import Acceptor
-from pimentoscale.serving.control import MemberStatus, NodeStatus, TargetStatus
-from pimentoscale.serving.distribution import Distribution
-from pimentoscale.serving.endpoint import CallEndpoint
-from pimentoscale.serving.entry import CallEntry
-from pimentoscale.serving.log_tasks import LogTasks
-from pimentoscale.serving.overlay import Overlay
-from pimentoscale.serving.patches import (
-    PatchStatus,
-    PatchSubmission,
-    describe_patch,
-    submit_patch,
-)
-from pimentoscale.serving.pause import TICK_S, PauseDetector
-from pimentoscale.serving.peers import PeerBook
-from pimentoscale.serving.router import Router
-from pimentoscale.serving.runner import UpstreamRunner
-from pimentoscale.serving.selection import TargetSelector
-from pimentoscale.serving.state import NodeState, get_wall_ms, make_own_member
-from pimentoscale.serving.submission import Submissions
-from pimentoscale.serving.witnesses import Witnesses
 from pimentoscale.settings import NodeSettings
 from pimentoscale.stream import Announcements, Connection
 from pimentoscale.ticket import Holder, TicketIssuer
--- a/src/pimentoscale/serving/acceptor.py
+++ b/src/pimentoscale/peering/acceptor.py
@@ -7,19 +7,19 @@
 
 from pimentoscale.call import Answer, Body, BodyBrokenError
 from pimentoscale.call.body import CHUNK_BYTES
-from pimentoscale.errors import CallError, ErrorKind
-from pimentoscale.logs import get_logger
-from pimentoscale.serving.frames import (
+from pimentoscale.dispatch.frames import (
     make_reply,
     read_context,
     read_request,
 )
-from pimentoscale.serving.pause import PauseDetector
-from pimentoscale.serving.peers import PeerBook
-from pimentoscale.serving.runner import UpstreamRunner
-from pimentoscale.serving.state import NodeState
-from pimentoscale.serving.submission import Submissions
-from pimentoscale.serving.witnesses import Witnesses
+from pimentoscale.dispatch.runner import UpstreamRunner
+from pimentoscale.dispatch.submission import Submissions
+from pimentoscale.dispatch.witnesses import Witnesses
+from pimentoscale.errors import CallError, ErrorKind
+from pimentoscale.logs import get_logger
+from pimentoscale.node.pause import PauseDetector
+from pimentoscale.node.state import NodeState
+from pimentoscale.peering.peers import PeerBook
 from pimentoscale.stream import (
     Announcements,
     Call,
--- a/src/pimentoscale/serving/overlay.py
+++ b/src/pimentoscale/peering/overlay.py
@@ -15,8 +15,8 @@
     find_parent,
     find_root,
 )
-from pimentoscale.serving.peers import Lane, PeerBook
-from pimentoscale.serving.state import NodeState
+from pimentoscale.node.state import NodeState
+from pimentoscale.peering.peers import Lane, PeerBook
 from pimentoscale.stream import Announcements, Connection, Hello, Peer
 from pimentoscale.timeline import EventName
 
--- a/src/pimentoscale/serving/peers.py
+++ b/src/pimentoscale/peering/peers.py
@@ -7,7 +7,7 @@
 from pimentoscale.configuration import ConfigurationFeed
 from pimentoscale.logs import get_logger
 from pimentoscale.membership import Member, MemberState
-from pimentoscale.serving.state import NodeState
+from pimentoscale.node.state import NodeState
 from pimentoscale.settings import Address
 from pimentoscale.stream import (
     Announcements,
--- a/src/pimentoscale/programs/node.py
+++ b/src/pimentoscale/programs/node.py
@@ -18,11 +18,11 @@
 from result import Err, Ok
 
 from pimentoscale.collector import relax_collector
+from pimentoscale.ingress.control import CONTROL_HANDLERS
+from pimentoscale.ingress.endpoint import MOUNT, CallEndpoint
 from pimentoscale.logs import configure_logs, get_logger
+from pimentoscale.node.node import Node
 from pimentoscale.policy import get_policy, list_policies
-from pimentoscale.serving.control import CONTROL_HANDLERS
-from pimentoscale.serving.endpoint import MOUNT, CallEndpoint
-from pimentoscale.serving.node import Node
 from pimentoscale.settings import NodeSettings, read_node_settings
 
 EXIT_BAD_SETTINGS = 2
--- a/src/pimentoscale/programs/operator.py
+++ b/src/pimentoscale/programs/operator.py
@@ -21,14 +21,14 @@
 from rich.table import Table
 
 from pimentoscale.configuration import Patch, Rejection, read_patch
-from pimentoscale.programs.client import NodeClient, find_events
-from pimentoscale.programs.explain import find_lines
-from pimentoscale.programs.picture import draw_events
-from pimentoscale.serving.patches import (
+from pimentoscale.distribution.patches import (
     IN_FORCE,
     REJECTED,
     PatchSubmission,
 )
+from pimentoscale.programs.client import NodeClient, find_events
+from pimentoscale.programs.explain import find_lines
+from pimentoscale.programs.picture import draw_events
 from pimentoscale.timeline import Event, merge_events
 from pimentoscale.timeline.clock import get_milliseconds
 
--- a/src/pimentoscale_bench/caller.py
+++ b/src/pimentoscale_bench/caller.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from pimentoscale.call import Body, BodyBrokenError, CallRequest, Header, collect_body
-from pimentoscale.serving import head
+from pimentoscale.ingress import head
 from pimentoscale.settings import Address
 from pimentoscale.upstream import (
     ConnectionPool,
--- a/src/pimentoscale_bench/patches.py
+++ b/src/pimentoscale_bench/patches.py
@@ -8,7 +8,7 @@
 import httpx
 import numpy as np
 
-from pimentoscale.serving.patches import IN_FORCE, REJECTED
+from pimentoscale.distribution.patches import IN_FORCE, REJECTED
 from pimentoscale_bench.audit import AuditReport
 from pimentoscale_bench.experiments import (
     ExperimentRequest,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,10 +9,10 @@
 import pytest
 
 from pimentoscale.membership import Member, MemberState
+from pimentoscale.node.node import make_state
+from pimentoscale.node.state import make_own_member
+from pimentoscale.peering.peers import IDLE_CLOSE_S, Lane, PeerBook
 from pimentoscale.policy import get_policy
-from pimentoscale.serving.node import make_state
-from pimentoscale.serving.peers import IDLE_CLOSE_S, Lane, PeerBook
-from pimentoscale.serving.state import make_own_member
 from pimentoscale.settings import Address, NodeSettings
 from pimentoscale.stream import Connection, Listener, PeerUnreachableError
 from tests.test_settings import make_document
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -8,9 +8,9 @@
 from result import Err, Ok
 
 from pimentoscale.call import Answer
+from pimentoscale.dispatch.witnesses import choose_witness
 from pimentoscale.membership import Member, MemberState
 from pimentoscale.outcome import Outcome
-from pimentoscale.serving.witnesses import choose_witness
 from pimentoscale.settings import Address
 from pimentoscale.ticket import (
     Holder,
