Add a soak: nodes and a store as processes, faults from outside

Change: pimento-bench soak starts the store's stand-in and nodes as processes, with targets, callers and relays in its own; faults are kills, SIGTERM, pauses, reloads, cuts, resets, silence, delays, store faults, changes of configuration and drains, several at once.

--- a/src/pimentoscale_bench/program.py
+++ b/src/pimentoscale_bench/program.py
@@ -23,10 +23,15 @@
 )
 from pimentoscale_bench.fleet import Fleet, run_fleet
 from pimentoscale_bench.report import ExperimentReport, print_report
+from pimentoscale_bench.soak.faults import FAULTS
+from pimentoscale_bench.soak.run import SoakRun
 
 EXIT_TARGET_MISSED = 1
 EXIT_BAD_CALL = 2
 EXIT_AUDIT_FAILED = 3
+MAX_BREACH_LINES = 20
+# A few hundred processes are the most that this machine is to run.
+MAX_SOAK_PROCESSES = 250
 DEPLOYMENTS = Path(__file__).parents[2] / "deployments"
 
 app = cyclopts.App(name="pimento-bench", help=__doc__)
@@ -100,6 +105,54 @@
         uvloop.run(_serve(fleet))
 
 
+@app.command
+def soak(
+    *,
+    seed: int = 1,
+    runs: int = 1,
+    seconds: float = 20.0,
+    processes: int = 6,
+    faults: Annotated[
+        str, cyclopts.Parameter(help="names with commas, all or none")
+    ] = "all",
+    folder: Path = Path("soak"),
+) -> None:
+    """Run nodes of the users' platform under random faults, one run for each seed.
+
+    A run that breaks a promise keeps its time line and logs in the folder. Exit codes:
+    2 for a bad call, 3 if a promise was broken.
+    """
+    names = {"all": list(FAULTS), "none": []}.get(faults, faults.split(","))
+    unknown = [name for name in names if name not in FAULTS]
+    if unknown or runs < 1 or not 1 <= processes <= MAX_SOAK_PROCESSES:
+        print(f"bad call; faults: all, none or {', '.join(FAULTS)}", file=sys.stderr)
+        sys.exit(EXIT_BAD_CALL)
+    logging.basicConfig(level=logging.WARNING)
+    broken = 0
+    for number in range(seed, seed + runs):
+        played = SoakRun(
+            seed=number,
+            seconds=seconds,
+            processes=processes,
+            folder=folder / f"seed-{number}",
+        )
+        report = uvloop.run(played.run(faults=names))
+        broken += bool(report.breaches)
+        console.print(
+            f"seed {number}: {report.requests} requests, statuses {report.statuses}, "
+            f"faults {report.faults}, breaches {len(report.breaches)}"
+        )
+        for breach in report.breaches[:MAX_BREACH_LINES]:
+            console.print(f"  {breach}", markup=False)
+        if report.breaches:
+            console.print(
+                f"  logs in {report.folder}; again: pimento-bench soak --seed {number} "
+                f"--seconds {seconds} --processes {processes} --faults {faults}"
+            )
+    if broken:
+        sys.exit(EXIT_AUDIT_FAILED)
+
+
 async def _serve(fleet: Fleet) -> None:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/src/pimentoscale_bench/relay.py
+++ b/src/pimentoscale_bench/relay.py
@@ -22,6 +22,8 @@
         self._forth.set()
         self._back.set()
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.delay_s = 0.0
 
     async def start(self) -> None:
         """Listen."""
@@ -41,6 +43,11 @@
         self._forth.set()
         self._back.set()
 
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in self._writers:
+            writer.transport.abort()
+
     def close(self) -> None:
         """Stop listening."""
         if self._server is not None:
@@ -55,24 +62,31 @@
         except OSError:
             writer.close()
             return
-        forth = asyncio.create_task(_pump(reader, there[1], self._forth))
-        back = asyncio.create_task(_pump(there[0], writer, self._back))
+        ends = {writer, there[1]}
+        self._writers |= ends
+        forth = asyncio.create_task(self._pump(reader, there[1], self._forth))
+        back = asyncio.create_task(self._pump(there[0], writer, self._back))
         with contextlib.suppress(asyncio.CancelledError):
             await asyncio.wait({forth, back}, return_when=asyncio.FIRST_COMPLETED)
         for task in (forth, back):
             task.cancel()
-        for end in (writer, there[1]):
+        self._writers -= ends
+        for end in ends:
             end.close()
 
-
-async def _pump(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, admission: asyncio.Event
-) -> None:
-    with contextlib.suppress(OSError):
-        while data := await reader.read(READ_BYTES):
-            await admission.wait()
-            writer.write(data)
-            await writer.drain()
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        admission: asyncio.Event,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(READ_BYTES):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                await admission.wait()
+                writer.write(data)
+                await writer.drain()
 
 
 class RelayMesh:
--- /dev/null
+++ b/src/pimentoscale_bench/soak/deployment.py
@@ -0,0 +1,308 @@
+"""The processes of a soak: a store and nodes; targets and relays are in this one."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from pimentoscale.http import HttpRequest, HttpResponse
+from pimentoscale.platform.settings import SETTINGS_VARIABLE
+from pimentoscale.settings import Address
+from pimentoscale_bench.relay import Relay
+from pimentoscale_bench.soak.record import SoakRecord
+from pimentoscale_bench.target import StandInTarget
+
+SERVICES = ("a", "b", "c")
+ZONES = ("z1", "z2")
+HOST_NAME = "soak.example"
+SLOTS = 8
+# Within the ports below those that the system gives to outgoing connections.
+PORTS = {
+    "listen_addresses.outbound": 7604,
+    "listen_addresses.ready": 7602,
+    "listen_addresses.control": 7606,
+    "target": 7601,
+    "callers_relay": 7614,
+    "store_relay": 7609,
+    "target_relay": 7611,
+}
+STREAM_PORTS = (7620, 7635)
+GRACE_S = 6.0
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+POLL_S = 0.05
+
+
+@dataclass(slots=True, kw_only=True)
+class SoakNode:
+    """A node's process, the target beside it and the relays around it."""
+
+    name: str
+    zone: str
+    service: str
+    host: str
+    target: StandInTarget
+    callers: Relay
+    store: Relay
+    upstream: Relay
+    process: "subprocess.Popen[bytes] | None" = None
+    grace_s: float = GRACE_S
+    busy: bool = False
+
+    def get_address(self, use: str) -> Address:
+        """Return one of the node's addresses."""
+        return Address(host=self.host, port=PORTS[use])
+
+    def make_settings(self) -> str:
+        """Return the text of the settings file."""
+        listening = [use for use in PORTS if use.startswith("listen_addresses")]
+        lines = [f"{use}={self.get_address(use)}" for use in listening]
+        lines += [
+            f"node={self.name}",
+            f"zone={self.zone}",
+            f"ip_address={self.host}",
+            f"internal_port_range={STREAM_PORTS[0]},{STREAM_PORTS[1]}",
+            f"application_address={self.upstream.listen}",
+            f"service={self.service}",
+            f"platform.address={self.store.listen}",
+            f"bounds=grace_s={self.grace_s},budget_ratio=0.2,budget_window_s=10",
+        ]
+        return "\n".join(lines) + "\n"
+
+
+@dataclass(slots=True, kw_only=True)
+class SoakDeployment:
+    """Starts, stops and configures everything; ends only what it has started."""
+
+    folder: Path
+    lane: int
+    count: int
+    record: SoakRecord = field(default_factory=SoakRecord)
+    nodes: list[SoakNode] = field(default_factory=list)
+    targets: list[StandInTarget] = field(default_factory=list)
+    routes: list[dict[str, Any]] = field(default_factory=list)
+    version: int = 0
+    store_process: "subprocess.Popen[bytes] | None" = None
+
+    @property
+    def store(self) -> Address:
+        """Return the store's own address."""
+        return Address(host=f"127.{self.lane}.0.1", port=7700)
+
+    async def start(self) -> None:
+        """Start the store, the first configuration, and all nodes."""
+        command = ["--host", self.store.host, "--port", str(self.store.port)]
+        self.store_process = self._spawn(
+            "store", ["pimentoscale_bench.platform", *command], {}
+        )
+        await self._wait_for_store()
+        self.routes = [_make_route(name, name) for name in SERVICES]
+        self.routes.append(_make_route("once", "b", kind="unsafe"))
+        await self.configure()
+        for index in range(self.count):
+            node = self._make_node(index)
+            self.nodes.append(node)
+            for relay in (node.callers, node.store, node.upstream):
+                await relay.start()
+            self.start_node(node)
+            await node.target.start(node.get_address("target"))
+        for node in self.nodes:
+            await self.wait_ready(node)
+
+    async def configure(self) -> None:
+        """Write the next version of the configuration to the store."""
+        self.version += 1
+        services = [
+            {"name": name, "health_path": "/health", "max_connections": 64}
+            for name in SERVICES
+        ]
+        limits = {
+            "header_bytes": 16384,
+            "body_bytes": 1_000_000,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        }
+        document = {
+            "version": f"{self.version:08x}",
+            "services": services,
+            "limits": limits,
+            "hosts": [{"host": HOST_NAME, "paths": self.routes}],
+        }
+        value = b"\x06config" + json.dumps(document).encode()
+        body = len(value).to_bytes(4, "big") + value
+        async with httpx.AsyncClient(timeout=5) as client:
+            answer = await client.post(
+                f"http://{self.store}/v1/log-append?topic=keyed.op&part=0",
+                content=body,
+            )
+            answer.raise_for_status()
+
+    def add_route(self, service: str) -> str:
+        """Add a route to the next version and return its name."""
+        name = f"v{self.version + 1}"
+        self.routes.append(_make_route(name, service))
+        return name
+
+    def start_node(self, node: SoakNode) -> None:
+        """Start a node's process."""
+        path = self.folder / f"{node.name}.conf"
+        path.write_text(node.make_settings())
+        node.process = self._spawn(
+            node.name,
+            ["pimentoscale.programs.sidecar"],
+            {SETTINGS_VARIABLE: str(path)},
+        )
+
+    def write_settings(self, node: SoakNode) -> None:
+        """Change a node's settings file."""
+        (self.folder / f"{node.name}.conf").write_text(node.make_settings())
+
+    def signal_node(self, node: SoakNode, number: int) -> None:
+        """Send a signal to a node's process, if it runs."""
+        if node.process is not None and node.process.poll() is None:
+            os.kill(node.process.pid, number)
+
+    async def wait_ended(self, node: SoakNode) -> bool:
+        """Wait until a node's process has ended; return False if it did not."""
+        assert node.process is not None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                while node.process.poll() is None:
+                    await asyncio.sleep(POLL_S)
+                return True
+        return False
+
+    async def wait_ready(self, node: SoakNode) -> None:
+        """Wait until a node answers that it is ready; raises `TimeoutError`."""
+        address = node.get_address("listen_addresses.ready")
+        async with httpx.AsyncClient(timeout=1) as client:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                while not await _is_ready(client, f"http://{address}/v1/readiness"):
+                    await asyncio.sleep(POLL_S)
+
+    async def set_store_faults(self, **changes: Any) -> None:
+        """Change what goes wrong at the store."""
+        async with httpx.AsyncClient(timeout=5) as client:
+            await client.post(f"http://{self.store}/faults", json=changes)
+
+    def stop(self) -> None:
+        """End every process that was started here, and close all sockets."""
+        processes = [node.process for node in self.nodes]
+        for process in (*processes, self.store_process):
+            if process is not None and process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait(timeout=STOP_TIMEOUT_S)
+        for target in self.targets:
+            target.close()
+            self.record.runs.update(target.record.runs)
+        for node in self.nodes:
+            for relay in (node.callers, node.store, node.upstream):
+                relay.close()
+
+    def make_target(self, node: SoakNode, identity: str) -> StandInTarget:
+        """Return a target that announces itself at its relay's address."""
+        target = StandInTarget(
+            identity=identity,
+            service=node.service,
+            zone=node.zone,
+            slots=SLOTS,
+            control=node.get_address("listen_addresses.control"),
+            announced=node.upstream.listen,
+        )
+        # A later start goes before an earlier one at the same address.
+        target.born = len(self.targets) + 1
+        self.targets.append(target)
+        return target
+
+    def _make_node(self, index: int) -> SoakNode:
+        host = f"127.{self.lane}.1.{index + 1}"
+        service = SERVICES[index % len(SERVICES)]
+
+        def relay(use: str, target: Address) -> Relay:
+            return Relay(listen=Address(host=host, port=PORTS[use]), target=target)
+
+        outgoing = Address(host=host, port=PORTS["listen_addresses.outbound"])
+        upstream = Address(host=host, port=PORTS["target"])
+        node = SoakNode(
+            name=f"node-{index + 1}",
+            zone=ZONES[index // len(SERVICES) % len(ZONES)],
+            service=service,
+            host=host,
+            target=None,  # type: ignore[arg-type]
+            callers=relay("callers_relay", outgoing),
+            store=relay("store_relay", self.store),
+            upstream=relay("target_relay", upstream),
+        )
+        node.target = self.make_target(node, f"t-{index + 1}-1")
+        return node
+
+    def _spawn(
+        self, name: str, command: list[str], changes: dict[str, str]
+    ) -> "subprocess.Popen[bytes]":
+        with (self.folder / f"{name}.log").open("ab") as output:
+            return subprocess.Popen(
+                [sys.executable, "-m", *command],
+                stdout=output,
+                stderr=output,
+                env={**os.environ, **changes},
+            )
+
+    async def _wait_for_store(self) -> None:
+        async with httpx.AsyncClient(timeout=1) as client:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                while not await _is_ready(client, f"http://{self.store}/counts"):
+                    await asyncio.sleep(POLL_S)
+
+
+async def _is_ready(client: httpx.AsyncClient, url: str) -> bool:
+    try:
+        return (await client.get(url)).status_code == httpx.codes.OK
+    except httpx.HTTPError:
+        return False
+
+
+def _make_route(name: str, service: str, *, kind: str = "safe") -> dict[str, Any]:
+    return {
+        "name": name,
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_s": 2,
+        "aim_s": 0.5,
+        "priority": 0 if kind == "unsafe" else 1,
+        "max_attempts": 2,
+        "service": service,
+    }
+
+
+def make_request(
+    *, path: str, identity: str, method: bytes, remaining_ms: int
+) -> HttpRequest:
+    """Return a request of a caller."""
+    return HttpRequest(
+        method=method,
+        path=path.encode(),
+        headers=[
+            (b"host", HOST_NAME.encode()),
+            (b"attempt-id", identity.encode()),
+            (b"deadline-remaining-ms", str(remaining_ms).encode()),
+        ],
+        body=identity.encode() if method == b"POST" else b"",
+    )
+
+
+def is_whole(response: HttpResponse, *, path: str, identity: str) -> bool:
+    """Tell whether a success is the target's whole answer to this request."""
+    return (
+        response.find(b"response-signature") is not None
+        and response.find(b"attempt-id") == identity.encode()
+        and f"ran {path} ".encode() in response.body
+    )
--- a/src/pimentoscale_bench/target.py
+++ b/src/pimentoscale_bench/target.py
@@ -29,6 +29,7 @@
     arrivals: Counter[str] = field(default_factory=Counter)
     headers: dict[str, dict[str, str]] = field(default_factory=dict)
     cancelled: set[str] = field(default_factory=set)
+    last_arrival: float = 0.0
 
 
 Behaviour = Callable[[HttpRequest], Awaitable[HttpResponse | None]]
@@ -37,7 +38,8 @@
 class StandInTarget:
     """Runs requests, announces itself to the node beside it, and keeps a record.
 
-    `behave` may stand in for the run: a response, or None for the usual one.
+    `behave` may stand in for the run: a response, or None for the usual one. With
+    `announced` it names another address than its own, such as that of a relay.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         zone: str,
         slots: int,
         control: Address,
+        announced: Address | None = None,
         behave: Behaviour | None = None,
     ) -> None:
         self.identity = identity
@@ -55,6 +58,7 @@
         self.zone = zone
         self.slots = slots
         self.control = control
+        self.announced = announced
         self.behave = behave
         self.record = TargetRecord()
         self.running = 0
@@ -78,7 +82,7 @@
         self._sequence += 1
         beat = {
             "service": self.service,
-            "address": str(self.address),
+            "address": str(self.announced or self.address),
             "zone": self.zone,
             "version": "v1",
             "slots": self.slots,
@@ -129,6 +133,7 @@
     async def _serve(self, request: HttpRequest) -> HttpResponse:
         identity = (request.find(b"attempt-id") or b"").decode()
         self.record.arrivals[identity] += 1
+        self.record.last_arrival = asyncio.get_running_loop().time()
         headers = [(b"attempt-id", identity.encode())]
         if (request.find(b"expected-instance") or b"").decode() != self.identity:
             return HttpResponse(status=421, headers=headers)
