--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: run test bench format
+.PHONY: run test bench bench-calm soak format
 
 run: $(READY)
 	$(BIN)/pimento-bench run mixed --deployment prairie-pall --scale small --seed 1
@@ -17,6 +17,12 @@
 bench: $(READY)
 	$(BIN)/pytest benchmarks
 
+bench-calm: $(READY)
+	$(BIN)/pimento-bench soak --faults none --seconds 20
+
+soak: $(READY)
+	$(BIN)/pimento-bench soak --runs 10 --seconds 20 --seed $${SEED:-1}
+
 format: $(READY)
 	$(BIN)/ruff check --fix src tests benchmarks
 	$(BIN)/ruff format src tests benchmarks
