Write the own record again if an older write lands after it

Cause: read in the code: the store may do a write seconds after its answer was lost. A late record of a target that leaves, put after that of its successor at the same node, takes the node out of use at all others for good; nothing looked at the own record again.

Ruled out: ordering by incarnation (random, so that it needs nothing kept) and sequence.

Change: a node that reads its own record and finds another than its own state writes it again. Not covered: a late record of a node that has ended; others find it unreachable.

--- a/src/pimentoscale/forwarding/registry.py
+++ b/src/pimentoscale/forwarding/registry.py
@@ -162,7 +162,7 @@
     def _apply(self, member: Member, *, offset: int, now: float) -> None:
         own = self._state.settings.instance
         if member.instance == own and offset >= 0:
-            # What this node knows of itself goes before what it wrote earlier.
+            self._check_own(member, offset=offset)
             return
         if member.state is MemberState.GONE:
             self._remove(member.instance)
@@ -185,6 +185,17 @@
         if member.instance != own:
             self._links.follow(member, now=now)
 
+    def _check_own(self, member: Member, *, offset: int) -> None:
+        """Write the own record again if the newest one is another.
+
+        The store may do a write seconds after its answer was lost, and so put an older
+        record after a newer one.
+        """
+        current = self.make_own()
+        if current is not None and member != current:
+            log.info("own record at offset %d is not the newest; written again", offset)
+            self._changed.set()
+
     def _remove(self, instance: str) -> None:
         if self._state.members.pop(instance, None) is not None:
             log.info("member %s has gone", instance)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,11 +3,14 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
+from dataclasses import replace as replace_member
 
 from msgspec.structs import replace
 
 from pimentoscale.forwarding.exchange import ForwardRequest
 from pimentoscale.http import HttpRequest, HttpResponse
+from pimentoscale.membership import MemberState
+from pimentoscale.membership.member import encode_member
 from tests.sidecars import (
     Deployment,
     Machine,
@@ -355,3 +358,21 @@
         machine.sidecar = again
 
     play(scenario)
+
+
+def test_late_write_of_an_older_record_is_written_over() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        machine = deployment.machines["m2"]
+        others = deployment.machines["m1"].sidecar
+        own = machine.sidecar.registry.make_own()
+        assert own is not None
+        await wait_until(lambda: others.views.find("m2") is not None)
+        # A write whose answer was lost is done seconds later by the store.
+        old = replace_member(own, state=MemberState.DRAINING)
+        record = bytes((2,)) + b"m2" + encode_member(old)
+        deployment.service.append("keyed.members", [record], at=None, now=0.0)
+        await wait_until(lambda: others.views.find("m2") is None)
+        await wait_until(lambda: others.views.find("m2") is not None)
+        assert others.state.members["m2"].state is MemberState.ALIVE
+
+    play(scenario)
