Leave one slot in sixteen of a target free

Ruled out: a collapse that feeds on itself (queues drain as traffic falls at 34 to 38 s); the restart of all nodes at 39 s (the same share before and after).

Change: at most 0.94 of the slots are used at once. The least limit after sheds stays at 0.75 of all slots.

Not learnt from the target: where it does not slow down, a sixteenth of a full target is lost.

--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -55,6 +55,9 @@
 # Only this node sends to the target, so one that sheds below its own slots is not full:
 # it fails part of its work. The limit is cut to this part of the slots at most.
 LEAST_LIMIT_SHARE = 0.75
+# Targets may slow down when they are nearly full, so one slot in sixteen stays free.
+# Where they don't, that costs this part of what a full target can do.
+USED_SLOTS_SHARE = 0.94
 # A request is due after this part of the time that its sender still waits.
 DUE_SHARE = 0.5
 FIRST_FAILURE = 500
@@ -322,9 +325,15 @@
         )
 
 
+def find_usable_slots(slots: int) -> int:
+    """Return how many of a target's slots are used at once."""
+    return max(1, int(slots * USED_SLOTS_SHARE))
+
+
 def _make_law(slots: int) -> LimitLaw:
-    least = max(1, int(slots * LEAST_LIMIT_SHARE))
-    return make_limit_law(name=LIMIT_LAW, slots=slots, least=least)
+    usable = find_usable_slots(slots)
+    least = max(1, min(usable, int(slots * LEAST_LIMIT_SHARE)))
+    return make_limit_law(name=LIMIT_LAW, slots=usable, least=least)
 
 
 def _find_due(request: ForwardRequest, *, now: float) -> float:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -35,6 +35,7 @@
     RetryBudget,
     may_call,
 )
+from pimentoscale.forwarding.target import find_usable_slots
 from pimentoscale.membership import Member, MemberState
 from pimentoscale.membership.upstream import (
     Admittance,
@@ -412,6 +413,14 @@
     assert 3 * INNER_SHARE + LAST_SHARE <= 1.0
 
 
+@pytest.mark.parametrize(
+    ("slots", "usable"),
+    [(0, 1), (1, 1), (2, 1), (4, 3), (15, 14), (40, 37), (180, 169)],
+)
+def test_target_is_never_filled_to_the_last_slot(slots: int, usable: int) -> None:
+    assert find_usable_slots(slots) == usable
+
+
 def test_later_announcement_goes_before_an_earlier_one() -> None:
     registration = UpstreamRegistration(address=ADDRESS)
     new = make_announcement(identity="i-2", started_ms=200)
