--- a/src/pimentoscale/admission/roots.py
+++ b/src/pimentoscale/admission/roots.py
@@ -39,8 +39,8 @@
 # A route is strained above this share of bad answers; in calm times the longest runs
 # alone make some hundredths.
 STRAINED_SHARE = 0.2
-# A route is slower than usual from this ratio of its recent to its usual time on: four
-# deviations of the recent time of runs that vary by half of their mean.
+# A route is slower than usual from this ratio of its recent to its usual time on;
+# from the model in tests/tree_model.py, in which lower ratios cut routes for nothing.
 SLOWER_RATIO = 1.5
 TIME_SMOOTHING = 0.03
 # The usual time follows the recent one down faster than up, so that an overload of some
