Log and count what a target states about its rate limit and its end

The adapter now decodes both headers; the node beside the target logs each change, and once a second the rate that it sends while a limit holds. No decision uses them yet.

--- a/src/pimentoscale/forwarding/exchange.py
+++ b/src/pimentoscale/forwarding/exchange.py
@@ -41,7 +41,9 @@
     `ran` tells that the target ran it, `is_genuine` that the response is signed for
     this request, `is_misdirected` that another instance than the expected one got it.
     `load` is None if the target tells none; `load_fault` says why a stated one is not
-    valid.
+    valid. `rate_limit` is how many requests a second the target takes from all nodes
+    together, None if it states no limit, and `rate_limit_fault` says why a stated one
+    is not valid. `is_leaving` tells that the target is about to end.
     """
 
     ran: bool
@@ -49,6 +51,9 @@
     is_misdirected: bool
     load: ToldLoad | None = None
     load_fault: str = ""
+    rate_limit: float | None = None
+    rate_limit_fault: str = ""
+    is_leaving: bool = False
 
 
 class Messages(Protocol):
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -291,6 +291,8 @@
             "routes_version": self.state.version,
             "requests_in_progress": self.forwarder.in_progress,
             "target_in_progress": self.target.in_progress,
+            "target_sent_requests": self.target.sent_requests,
+            "target_rate_limit": _get_rate_gauge(self.target.rate_limit),
             "streams_up": self.links.count_up(),
             "members": len(self.state.members),
             "store_answer_age_seconds": self._get_store_age_s(),
@@ -353,6 +355,7 @@
             self.receiver.close_timed_out(now=now)
             self.links.close_idle(now=now)
             self.target.close_idle(now=now)
+            self.target.log_rate(now=now)
             self._share_degraded_route(now)
             # The number of members sets this node's part of the retry slack.
             self.forwarder.apply_settings()
@@ -370,4 +373,8 @@
             log.error("background task failed", exc_info=task.exception())
 
 
+def _get_rate_gauge(rate_limit: float | None) -> float:
+    return -1.0 if rate_limit is None else rate_limit
+
+
 __all__ = ["Sidecar", "StoreTopics"]
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -55,6 +55,8 @@
 MIN_SERVER_ERROR = 500
 # Least time between two log lines about told load that is not valid.
 LOAD_LOG_S = 1.0
+# Least time between two log lines about the rate of an upstream that states a limit.
+RATE_LOG_S = 1.0
 # Connections of the upstream's limit that this node leaves unused.
 SPARE_CONNECTIONS = 2
 
@@ -84,6 +86,11 @@
         self.in_progress = 0
         self._run_count = 0
         self._load_fault_logged_at = -LOAD_LOG_S
+        # The limit that the upstream states, and the requests sent since the last log
+        # line about it.
+        self.rate_limit: float | None = None
+        self._rate_logged_at = now
+        self._rate_logged_count = 0
         self.get_rank: Callable[[int], float] = lambda importance: 0.0
         self.count_calls: Callable[[], int] = lambda: 0
         self.on_change: Callable[[], None] | None = None
@@ -125,6 +132,27 @@
         """Set how many connections the upstream accepts."""
         self._client.limit = max(1, limit - SPARE_CONNECTIONS)
 
+    @property
+    def sent_requests(self) -> int:
+        """Return how many requests were sent to the upstream."""
+        return self._run_count
+
+    def log_rate(self, *, now: float) -> None:
+        """Log the rate of sent requests while the upstream states a limit."""
+        elapsed_s = now - self._rate_logged_at
+        if self.rate_limit is None or elapsed_s < RATE_LOG_S:
+            return
+        sent = self._run_count - self._rate_logged_count
+        log.info(
+            "rate of requests: limit=%.2f sent=%.2f over_s=%.2f waiting=%d",
+            self.rate_limit,
+            sent / elapsed_s,
+            elapsed_s,
+            self._admission.queued,
+        )
+        self._rate_logged_at = now
+        self._rate_logged_count = self._run_count
+
     def report_load(self, *, now: float) -> Load:
         """Return the load to report with a response."""
         return self._admission.report(now=now)
@@ -320,6 +348,7 @@
     ) -> Attempt:
         answer = self._messages.read_answer(response, request.identity)
         self._record_told_load(answer)
+        self._record_statements(answer)
         if answer.is_misdirected:
             connection.close()
             attempt = Attempt.make_not_run(
@@ -356,3 +385,24 @@
         elif answer.load_fault and now >= self._load_fault_logged_at + LOAD_LOG_S:
             self._load_fault_logged_at = now
             log.warning("load told by the upstream ignored: %s", answer.load_fault)
+
+    def _record_statements(self, answer: TargetAnswer) -> None:
+        """Log what the upstream states about its limit and its end."""
+        if answer.is_misdirected:
+            return
+        now = asyncio.get_running_loop().time()
+        if answer.rate_limit_fault:
+            log.warning("stated rate limit ignored: %s", answer.rate_limit_fault)
+        elif answer.rate_limit != self.rate_limit:
+            log.info(
+                "stated rate limit: %s before=%s sent=%d",
+                answer.rate_limit,
+                self.rate_limit,
+                self._run_count,
+            )
+            self.rate_limit = answer.rate_limit
+            self._rate_logged_at = now
+            self._rate_logged_count = self._run_count
+        current = self.registration.current
+        if answer.is_leaving and current is not None and not current.is_draining:
+            log.info("upstream %s states that it leaves", current.identity)
--- a/src/pimentoscale/platform/messages.py
+++ b/src/pimentoscale/platform/messages.py
@@ -22,6 +22,11 @@
 _LOAD = b"instance-load"
 _LOAD_FIGURES = 4
 MAX_LOAD_COUNT = 1_000_000
+# Requests a second that the target takes from all nodes together.
+_RATE_LIMIT = b"server-limit"
+MAX_RATE_LIMIT_BYTES = 32
+# "1" if the target is about to end.
+_LEAVING = b"server-leaving"
 # Work a hundred times slower than usual is not believed.
 MAX_SLOWDOWN_PERCENT = 10_000
 
@@ -91,6 +96,15 @@
                     load = decoded
                 case Err(reason):
                     load_fault = reason
+        rate_limit: float | None = None
+        rate_limit_fault = ""
+        stated_rate = headers_by_name.get(_RATE_LIMIT)
+        if stated_rate is not None:
+            match decode_rate_limit(stated_rate):
+                case Ok(rate):
+                    rate_limit = rate
+                case Err(reason):
+                    rate_limit_fault = reason
         return TargetAnswer(
             ran=_NOT_RUN not in headers_by_name and response.status != MISDIRECTED,
             is_genuine=_SIGNATURE in headers_by_name
@@ -98,6 +112,9 @@
             is_misdirected=response.status == MISDIRECTED,
             load=load,
             load_fault=load_fault,
+            rate_limit=rate_limit,
+            rate_limit_fault=rate_limit_fault,
+            is_leaving=headers_by_name.get(_LEAVING, b"").strip() == b"1",
         )
 
 
@@ -117,3 +134,13 @@
     return Ok(
         ToldLoad(running=running, waiting=waiting, slots=slots, slowdown=percent / 100)
     )
+
+
+def decode_rate_limit(value: bytes) -> Result[float, str]:
+    """Return the requests a second in a decimal number, or why it is not valid."""
+    text = value.strip()
+    whole, _, fraction = text.partition(b".")
+    digits = whole + fraction
+    if len(text) > MAX_RATE_LIMIT_BYTES or not digits.isdigit():
+        return Err(f"{value[:64]!r} is not a decimal number")
+    return Ok(float(text))
