--- a/src/pimentoscale_bench/target.py
+++ b/src/pimentoscale_bench/target.py
@@ -26,14 +26,20 @@
     """Counts of a target's arrivals and runs by attempt id.
 
     `headers` holds the request headers of each id's last run, and `cancelled` the ids
-    whose run was cancelled; `last_arrival` is a time of the event loop, in seconds.
+    whose run was cancelled; `arrived_at` holds the times of all arrivals on the event
+    loop's clock, in seconds.
     """
 
     runs: Counter[str] = field(default_factory=Counter)
     arrivals: Counter[str] = field(default_factory=Counter)
     headers: dict[str, dict[str, str]] = field(default_factory=dict)
     cancelled: set[str] = field(default_factory=set)
-    last_arrival: float = 0.0
+    arrived_at: list[float] = field(default_factory=list)
+
+    @property
+    def last_arrival(self) -> float:
+        """Return the time of the last arrival, 0 if there was none."""
+        return self.arrived_at[-1] if self.arrived_at else 0.0
 
 
 RunHandler = Callable[[HttpRequest], Awaitable[HttpResponse | None]]
@@ -45,7 +51,8 @@
     `run_handler` overrides the response of a run; if it returns None, the default
     response is sent. `announced_address` is announced instead of the target's own
     address, for example that of a relay. With `load_header` the responses have a load
-    header with this value.
+    header with this value, and with `rate_header` one that states a rate limit. With
+    `is_leaving` they state that the target is about to end.
     """
 
     def __init__(
@@ -71,6 +78,8 @@
         self.run_s = 0.01
         self.state = "ready"
         self.load_header = b""
+        self.rate_header = b""
+        self.is_leaving = False
         self.born = 1
         self._sequence = 0
         self._server = HttpServer(handler=self._serve, limits=HttpLimits())
@@ -146,10 +155,14 @@
     async def _serve(self, request: HttpRequest) -> HttpResponse:
         identity = (request.find(b"attempt-id") or b"").decode()
         self.record.arrivals[identity] += 1
-        self.record.last_arrival = asyncio.get_running_loop().time()
+        self.record.arrived_at.append(asyncio.get_running_loop().time())
         headers = [(b"attempt-id", identity.encode())]
         if self.load_header:
             headers.append((b"instance-load", self.load_header))
+        if self.rate_header:
+            headers.append((b"server-limit", self.rate_header))
+        if self.is_leaving:
+            headers.append((b"server-leaving", b"1"))
         if (request.find(b"expected-instance") or b"").decode() != self.identity:
             return HttpResponse(status=421, headers=headers)
         if self.running >= self.slots:
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -153,6 +153,18 @@
         await sidecar.start()
         return sidecar
 
+    async def restart_node(self, name: str) -> Sidecar:
+        """Close a node with all its connections, and start it again."""
+        machine = self.machines[name]
+        old = machine.sidecar
+        old.close()
+        for server in (old._outgoing, old._announcements):
+            for connection in list(server.connections):
+                assert connection._transport is not None
+                connection._transport.abort()
+        machine.sidecar = await self.start_node(machine.settings)
+        return machine.sidecar
+
     async def wait_ready(self) -> None:
         """Wait until every node has the newest version and all members."""
 
