Keep the rate limit and the end that a target states

Callers saw nothing, but a target in need that named a limit of 31 to 68 requests a second got up to 177, and a target whose answers said that it leaves went on getting requests.

Cause: what a target states about itself in its answers was never read, except its load; limits were learned from time and failures alone. The class of fault is a statement of a peer that no decision uses.

Fix: every request to a target passes the node beside it, so the limit is kept there and needs no talk between nodes. admission/rate_limit.py spaces requests by a token bucket at the stated rate; what would wait too long for it is refused at once, least important first (RATE_LIMITED), so that it goes to another target or its caller learns early when to come back. Answers carry the limit back, and requests carry it to a restarted node, so exactly the nodes that have heard of it tell it. A statement of leaving closes the target as an announcement does; it is known by the start of the target (identity and time), which the member record now has, so neither a restart of its node nor a late announcement opens it again, and nodes that have passed it on never send there. A wait for the limit is not held against the route. Streams are of protocol 5.

--- a/src/pimentoscale/admission/__init__.py
+++ b/src/pimentoscale/admission/__init__.py
@@ -13,6 +13,7 @@
     Sample,
     make_limit_algorithm,
 )
+from pimentoscale.admission.rate_limit import StatedRateLimit
 from pimentoscale.admission.root_limiter import RootRequestLimiter
 from pimentoscale.admission.slot_shares import Length
 from pimentoscale.admission.slots import Slot, SlotWaiters
@@ -32,6 +33,7 @@
     "Slot",
     "SlotWaiters",
     "SlowdownSlope",
+    "StatedRateLimit",
     "UrgencyAdmission",
     "Verdict",
     "decay_slowdown",
--- a/src/pimentoscale/admission/call_queue.py
+++ b/src/pimentoscale/admission/call_queue.py
@@ -1,5 +1,6 @@
 """The queue of calls that wait for a slot, by priority."""
 
+import math
 from collections import Counter
 
 import msgspec
@@ -13,11 +14,13 @@
 class Entry(msgspec.Struct, kw_only=True, eq=False):
     """A call under admission control.
 
-    `deadline`, `due`, `arrived` and `started` are on the process's monotonic clock, in
-    seconds. `due`, which `UrgencyAdmission` uses, is the time by which an answer is
-    worth most; it is not after `deadline`. `depth` is the call's depth in its tree
-    of calls, and `work_ms` the upstream time already spent on that tree. `expected_ms`
-    is the estimated run time with which a waiting call counts towards the backlog.
+    `deadline`, `due`, `start_by`, `arrived` and `started` are on the process's
+    monotonic clock, in seconds. `due`, which `UrgencyAdmission` uses, is the time by
+    which an answer is worth most; it is not after `deadline`. `start_by` is how long
+    the call may wait for an upstream that states a rate limit. `depth` is the call's
+    depth in its tree of calls, and `work_ms` the upstream time already spent on that
+    tree. `expected_ms` is the estimated run time with which a waiting call counts
+    towards the backlog.
     """
 
     request: str
@@ -31,6 +34,7 @@
     arrived: float = 0.0
     started: float = 0.0
     due: float = 0.0
+    start_by: float = math.inf
     expected_ms: float = 0.0
     sort_key: SortKey = (0, 0, 0, 0, 0)
 
--- a/src/pimentoscale/admission/slots.py
+++ b/src/pimentoscale/admission/slots.py
@@ -97,6 +97,10 @@
         """Start the waiting calls that a raised limit admits."""
         self._resolve_dequeued(self._admission.start_waiting(now=now))
 
+    def refuse(self, dequeued: Dequeued) -> None:
+        """Refuse waiting calls that the admission has removed from its queue."""
+        self._resolve_dequeued(dequeued)
+
     def _expire(self, slot: Slot) -> None:
         if self._admission.withdraw(slot.entry):
             self._resolve(slot.entry, CallError(kind=ErrorKind.DEADLINE_BEFORE_RUN))
--- a/src/pimentoscale/admission/urgency.py
+++ b/src/pimentoscale/admission/urgency.py
@@ -18,6 +18,7 @@
     Verdict,
 )
 from pimentoscale.admission.limit_algorithms import LimitAlgorithm, Sample
+from pimentoscale.admission.rate_limit import StatedRateLimit
 from pimentoscale.admission.slowdown import SlowdownEstimate, SlowdownSlope
 from pimentoscale.errors import CallError, ErrorKind
 
@@ -61,8 +62,8 @@
 class UrgencyAdmission:
     """Decides which requests run, wait or are refused at one upstream.
 
-    `running` is the number of running requests, and `slowdown` what the upstream tells
-    about the speed of its work.
+    `running` is the number of running requests, `slowdown` what the upstream tells
+    about the speed of its work, and `rate_limit` the rate of requests that it states.
     """
 
     __slots__ = (
@@ -71,6 +72,7 @@
         "_by_importance",
         "_run_times",
         "_waiting",
+        "rate_limit",
         "running",
         "slowdown",
     )
@@ -83,6 +85,7 @@
         self._backlog_ms = 0.0
         self.running = 0
         self.slowdown = SlowdownEstimate()
+        self.rate_limit = StatedRateLimit()
 
     @property
     def queued(self) -> int:
@@ -100,21 +103,25 @@
     def offer(self, entry: Entry, *, now: float) -> Decision:
         """Decide whether an arriving request starts, waits or is refused."""
         entry.arrived = now
-        if self.running < self.get_limit() and not self._waiting:
+        if (
+            self.running < self.get_limit()
+            and not self._waiting
+            and self.rate_limit.try_send(now=now)
+        ):
             self._start(entry, now)
             return Decision(verdict=Verdict.START)
         self._add(entry, now)
         displaced: list[Refusal] = []
-        while not self._can_meet_deadline(entry, now) or self.queued > MAX_WAITING:
+        while (reason := self._find_refusal(entry, now)) is not None:
             lowest = self._find_least_important(entry)
             if lowest is None or lowest is entry:
                 self._remove(entry)
-                error = self._make_error(ErrorKind.OVERLOADED)
+                error = self._make_error(reason, now)
                 return Decision(
                     verdict=Verdict.REFUSE, error=error, displaced=displaced
                 )
             self._remove(lowest)
-            error = self._make_error(ErrorKind.DISPLACED)
+            error = self._make_error(ErrorKind.DISPLACED, now)
             displaced.append(Refusal(entry=lowest, error=error))
         return Decision(verdict=Verdict.WAIT, displaced=displaced)
 
@@ -147,27 +154,57 @@
         limit = self.get_limit()
         while self._waiting and self.running < limit:
             entry = self._waiting[0]
-            self._remove(entry)
             # Dropped if less than half of its estimated run time is left; the divisor
             # also converts milliseconds to seconds.
             run_ms = self._run_times.get(
                 entry.kind, slowdown=self.slowdown.get(now=now)
             )
             if now + run_ms / 2000 > entry.deadline:
+                self._remove(entry)
                 error = CallError(kind=ErrorKind.DEADLINE_BEFORE_RUN)
                 dequeued.expired.append(Refusal(entry=entry, error=error))
-            else:
+            elif self.rate_limit.try_send(now=now):
+                self._remove(entry)
                 self._start(entry, now)
                 dequeued.started.append(entry)
+            else:
+                break
+        return dequeued
+
+    def refuse_late(self, *, now: float) -> Dequeued:
+        """Refuse the waiting requests that a new rate limit holds up for too long.
+
+        They may find room at another upstream, or their callers should know early.
+        """
+        dequeued = Dequeued()
+        ahead = 0
+        for entry in list(self._waiting):
+            if self._can_start_in_time(entry, ahead, now):
+                ahead += 1
+                continue
+            self._remove(entry)
+            error = self._make_error(ErrorKind.RATE_LIMITED, now)
+            dequeued.expired.append(Refusal(entry=entry, error=error))
         return dequeued
 
+    def get_send_delay_s(self, *, now: float) -> float | None:
+        """Return in how many seconds the rate limit allows a waiting request.
+
+        None if no request waits for the limit, but for a free slot or not at all.
+        """
+        if self.rate_limit.stated is None or not self._waiting:
+            return None
+        if self.running >= self.get_limit():
+            return None
+        return self.rate_limit.estimate_wait_s(ahead=0, now=now)
+
     def report(self, *, now: float) -> Load:
         """Return the load to report with an answer."""
         limit = self.get_limit()
         return Load(
             in_flight=self.running + self.queued,
             limit=limit,
-            queue_ms=int(self._backlog_ms / limit),
+            queue_ms=int(self._estimate_wait_ms(now)),
             admitted=0,
             slowdown=self.slowdown.get(now=now),
         )
@@ -196,6 +233,28 @@
             del self._by_importance[entry.importance]
         self._backlog_ms = max(0.0, self._backlog_ms - entry.expected_ms)
 
+    def _find_refusal(self, entry: Entry, now: float) -> ErrorKind | None:
+        """Return why a waiting request can't be served in time, or None if it can."""
+        if not self._can_meet_deadline(entry, now) or self.queued > MAX_WAITING:
+            return ErrorKind.OVERLOADED
+        ahead: int = self._waiting.bisect_key_right(entry.due) - 1
+        if not self._can_start_in_time(entry, ahead, now):
+            return ErrorKind.RATE_LIMITED
+        return None
+
+    def _can_start_in_time(self, entry: Entry, ahead: int, now: float) -> bool:
+        """Return whether the rate limit lets a request start in time after others."""
+        if self.rate_limit.stated is None:
+            return True
+        start = now + self.rate_limit.estimate_wait_s(ahead=ahead, now=now)
+        ends_in_time = start + entry.expected_ms / 1000 <= entry.deadline
+        return start <= entry.start_by and ends_in_time
+
+    def _estimate_wait_ms(self, now: float) -> float:
+        """Return how long a request that arrives now waits."""
+        rate_wait_s = self.rate_limit.estimate_wait_s(ahead=self.queued, now=now)
+        return max(self._backlog_ms / self.get_limit(), rate_wait_s * 1000)
+
     def _can_meet_deadline(self, entry: Entry, now: float) -> bool:
         """Return whether a waiting request should end by its deadline.
 
@@ -222,6 +281,6 @@
                 return latest
         return None
 
-    def _make_error(self, kind: ErrorKind) -> CallError:
-        backlog_ms = int(self._backlog_ms / self.get_limit())
-        return CallError(kind=kind, retry_after_ms=max(MIN_RETRY_AFTER_MS, backlog_ms))
+    def _make_error(self, kind: ErrorKind, now: float) -> CallError:
+        wait_ms = int(self._estimate_wait_ms(now))
+        return CallError(kind=kind, retry_after_ms=max(MIN_RETRY_AFTER_MS, wait_ms))
--- a/src/pimentoscale/errors.py
+++ b/src/pimentoscale/errors.py
@@ -23,6 +23,7 @@
     WITNESS_SILENT = "witness_silent"
     HOME_FULL = "home_full"
     OVERLOADED = "overloaded"
+    RATE_LIMITED = "rate_limited"
     DISPLACED = "displaced"
     DRAINING = "draining"
     DEADLINE_BEFORE_RUN = "deadline_before_run"
@@ -66,6 +67,7 @@
     (ErrorKind.WITNESS_SILENT, 503, _UNKNOWN, "no verdict; send the same ticket again"),
     (ErrorKind.HOME_FULL, 503, _UNKNOWN, "no memory; send the same ticket again"),
     (ErrorKind.OVERLOADED, 503, _REFUSED, "the target has no room"),
+    (ErrorKind.RATE_LIMITED, 503, _REFUSED, "the target takes no more at present"),
     (ErrorKind.DISPLACED, 503, _REFUSED, "more important work took the place"),
     (ErrorKind.DRAINING, 503, _REFUSED, "the instance is draining"),
     (ErrorKind.DEADLINE_BEFORE_RUN, 504, _REFUSED, "the deadline passed before a run"),
--- a/src/pimentoscale/forwarding/entries.py
+++ b/src/pimentoscale/forwarding/entries.py
@@ -19,6 +19,10 @@
 # Targets may slow down when they are nearly full, so one slot in sixteen stays free.
 # For targets that don't, this costs one sixteenth of the capacity.
 USED_SLOTS_SHARE = 0.94
+# For a target that states a rate limit, a caller's request waits for at most this share
+# of the time until it is due, and the call of a target until it is due. What would wait
+# longer is refused, so that another target may run it in time.
+RATE_WAIT_SHARE = 0.5
 # A request is due at the latest after this share of the time that its sender waits.
 DUE_SHARE = 0.5
 
@@ -38,8 +42,11 @@
 def make_entry(request: ForwardRequest, *, now: float) -> Entry:
     """Return the entry of a request in the queue of its target."""
     importance = request.importance
+    due = _get_due(request, now=now)
+    start_by = now + (due - now) * RATE_WAIT_SHARE
     if request.is_inner:
         importance += INNER_IMPORTANCE
+        start_by = due
     return Entry(
         request=request.identity,
         caller="",
@@ -49,7 +56,8 @@
         depth=0,
         work_ms=0,
         deadline=request.deadline,
-        due=_get_due(request, now=now),
+        due=due,
+        start_by=start_by,
     )
 
 
--- a/src/pimentoscale/forwarding/exchange.py
+++ b/src/pimentoscale/forwarding/exchange.py
@@ -75,6 +75,19 @@
         """Return what a target's response states about the request."""
 
 
+class StatedCondition(msgspec.Struct, kw_only=True, frozen=True):
+    """What a target states about how long and how much it takes requests.
+
+    `upstream` identifies the start of the target. `rate_limit` is how many requests a
+    second it takes from all nodes together, None without a limit. `is_leaving` tells
+    that it is about to end.
+    """
+
+    upstream: str
+    rate_limit: float | None = None
+    is_leaving: bool = False
+
+
 class AttemptOutcome(Enum):
     """How one attempt ended."""
 
@@ -90,7 +103,8 @@
     that a target makes for a request already admitted; `was_refused` a caller that was
     refused before and retries. `suspended_s` is how long the machine had been suspended
     when this node received the request: that clock stands still meanwhile, while the
-    sender's goes on.
+    sender's goes on. `stated` is what the sending node has heard of the target, None
+    if it has heard of no limit.
     """
 
     identity: str
@@ -104,6 +118,7 @@
     objective_s: float
     message: HttpRequest
     suspended_s: float
+    stated: StatedCondition | None = None
 
 
 def get_deadline(request: ForwardRequest) -> float:
@@ -119,7 +134,8 @@
 
     `arrived` tells that a target received the request, even if it did not run it;
     `run_ms` is the time that the target took; `calls_others` tells that runs at this
-    target may call other services.
+    target may call other services. `stated` is what the target states about its
+    condition, None if it neither states a limit nor leaves.
     """
 
     outcome: AttemptOutcome
@@ -129,6 +145,7 @@
     load: Load | None = None
     run_ms: float = 0.0
     calls_others: bool = True
+    stated: StatedCondition | None = None
 
     @classmethod
     def make_not_run(
--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -201,7 +201,8 @@
             objective_s=forward.objective_s,
             is_inner=forward.is_inner,
         )
-        for _ in range(MAX_ATTEMPTS if forward.is_inner else MAX_CALLER_ATTEMPTS):
+        max_attempts = MAX_ATTEMPTS if forward.is_inner else MAX_CALLER_ATTEMPTS
+        while len(history.nodes) < max_attempts:
             now = loop.time()
             view = self._placement.choose(
                 self._views.list(forward.service),
@@ -223,6 +224,9 @@
                 break
             if attempt.error is not None and attempt.error.kind in _REFUSAL_ERRORS:
                 placement = replace(placement, zone=ANY_ZONE)
+                if attempt.error.kind is ErrorKind.RATE_LIMITED:
+                    # A limit says nothing about the other targets of the service.
+                    max_attempts = MAX_ATTEMPTS
         return history
 
     def _may_continue(
@@ -262,7 +266,7 @@
             peer = await self._links.get(view.member, now=loop.time())
             now = loop.time()
             remaining_s = max(0.0, get_deadline(forward) - now)
-            frame = make_forward(forward, remaining_s=remaining_s)
+            frame = make_forward(forward, remaining_s=remaining_s, stated=view.stated)
             timeout_s = remaining_s + ANSWER_GRACE_S
             # Work that must not run again is not given up for a silence.
             answer = await peer.query(
@@ -284,6 +288,8 @@
         """Update the view of a node from an attempt, and log one that failed."""
         if attempt.load is not None:
             view.update_load(attempt.load, now=now)
+        has_answered = attempt.outcome is AttemptOutcome.ANSWERED
+        self._views.record_stated(view, attempt.stated, has_answered=has_answered)
         if attempt.outcome is AttemptOutcome.ANSWERED:
             slowdown = attempt.load.slowdown if attempt.load is not None else 0.0
             averages = self._placement.averages
@@ -364,6 +370,10 @@
 )
 
 # Errors after which the node gets no caller's request of the route for a short time.
-_REFUSAL_ERRORS = (ErrorKind.OVERLOADED, ErrorKind.DISPLACED)
+_REFUSAL_ERRORS = (
+    ErrorKind.OVERLOADED,
+    ErrorKind.DISPLACED,
+    ErrorKind.RATE_LIMITED,
+)
 
 __all__ = ["Forwarder"]
--- a/src/pimentoscale/forwarding/frames.py
+++ b/src/pimentoscale/forwarding/frames.py
@@ -2,15 +2,32 @@
 
 from pimentoscale.admission import Load
 from pimentoscale.errors import CallError, ErrorKind
-from pimentoscale.forwarding.exchange import Attempt, AttemptOutcome, ForwardRequest
+from pimentoscale.forwarding.exchange import (
+    Attempt,
+    AttemptOutcome,
+    ForwardRequest,
+    StatedCondition,
+)
 from pimentoscale.http import HttpRequest, HttpResponse
 from pimentoscale.stream import Forward, ForwardReply, FrameError
 from pimentoscale.suspension import read_suspended_s
 
+# A rate is encoded in thousandths of a request a second.
+RATE_UNITS = 1000
 
-def make_forward(request: ForwardRequest, *, remaining_s: float) -> Forward:
-    """Return the frame of a request; the peer sets its query number."""
+
+def make_forward(
+    request: ForwardRequest,
+    *,
+    remaining_s: float,
+    stated: StatedCondition | None = None,
+) -> Forward:
+    """Return the frame of a request; the peer sets its query number.
+
+    `stated` is what this node has heard of the receiver's target.
+    """
     message = request.message
+    is_limited = stated is not None and stated.rate_limit is not None
     return Forward(
         query=0,
         identity=request.identity,
@@ -26,11 +43,17 @@
         path=message.path,
         lines=message.encoded_headers,
         body=message.body,
+        rate_limit=_encode_rate(stated),
+        upstream=stated.upstream if stated and is_limited else "",
     )
 
 
 def read_forward(frame: Forward, *, now: float) -> ForwardRequest:
     """Return the request in a frame."""
+    stated = None
+    if frame.upstream:
+        rate = _decode_rate(frame.rate_limit)
+        stated = StatedCondition(upstream=frame.upstream, rate_limit=rate)
     return ForwardRequest(
         identity=frame.identity,
         service=frame.service,
@@ -48,6 +71,7 @@
             encoded_headers=frame.lines,
             body=frame.body,
         ),
+        stated=stated,
     )
 
 
@@ -73,6 +97,9 @@
         queue_ms=load.queue_ms,
         admitted=load.admitted,
         slowdown_percent=round(100 * load.slowdown),
+        rate_limit=_encode_rate(attempt.stated),
+        leaving=attempt.stated is not None and attempt.stated.is_leaving,
+        upstream=attempt.stated.upstream if attempt.stated else "",
     )
 
 
@@ -106,6 +133,13 @@
         admitted=frame.admitted,
         slowdown=frame.slowdown_percent / 100,
     )
+    stated = None
+    if frame.upstream:
+        stated = StatedCondition(
+            upstream=frame.upstream,
+            rate_limit=_decode_rate(frame.rate_limit),
+            is_leaving=frame.leaving,
+        )
     return Attempt(
         outcome=outcome,
         arrived=frame.arrived,
@@ -114,4 +148,15 @@
         load=load if frame.limit else None,
         run_ms=float(frame.run_ms),
         calls_others=frame.calls_others,
+        stated=stated,
     )
+
+
+def _encode_rate(stated: StatedCondition | None) -> int:
+    if stated is None or stated.rate_limit is None:
+        return -1
+    return int(stated.rate_limit * RATE_UNITS)
+
+
+def _decode_rate(rate: int) -> float | None:
+    return rate / RATE_UNITS if rate >= 0 else None
--- a/src/pimentoscale/forwarding/placement.py
+++ b/src/pimentoscale/forwarding/placement.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from pimentoscale.admission import Load, SlowdownSlope, decay_slowdown
+from pimentoscale.forwarding.exchange import StatedCondition
 from pimentoscale.membership import Member
 
 # A node in another zone must be faster by this share of the request's objective, plus
@@ -35,6 +36,8 @@
 USAGE_COST_SHARE = 0.5
 # The weight of a load report halves in this time.
 LOAD_HALF_LIFE_S = 0.5
+# The same for a report of the queue at a target that states a rate limit.
+RATE_HALF_LIFE_S = 4.0
 # A target's measured run time decays to the route's average with this half-life, so
 # that a target which was slow gets requests again.
 RUN_HALF_LIFE_S = 3.0
@@ -84,6 +87,7 @@
     the target's last load report, received at `load_at`. `failures` counts failures
     in a row. `is_draining` tells that the node itself is about to stop. `refused_until`
     holds, by route, until when callers' requests are not sent there after a refusal.
+    `stated` is what the target states about its condition, None without a limit.
     """
 
     member: Member
@@ -97,6 +101,7 @@
     is_draining: bool = False
     run_times: dict[str, RunTime] = field(default_factory=dict)
     refused_until: dict[str, float] = field(default_factory=dict)
+    stated: StatedCondition | None = None
 
     def update_load(self, load: Load, *, now: float) -> None:
         """Store the target's own load report."""
@@ -140,6 +145,18 @@
         decay = math.exp2((self.load_at - now) / LOAD_HALF_LIFE_S)
         return max(float(self.outstanding), self.load.in_flight * decay)
 
+    def estimate_queue_ms(self, *, now: float) -> float:
+        """Return how long a request waits in the target's queue, as it last reported.
+
+        The queue of a target that states a rate limit stays as long as callers ask for
+        more than the limit, however long ago this node heard of it.
+        """
+        if self.load is None:
+            return 0.0
+        is_limited = self.stated is not None and self.stated.rate_limit is not None
+        half_life_s = RATE_HALF_LIFE_S if is_limited else LOAD_HALF_LIFE_S
+        return self.load.queue_ms * math.exp2((self.load_at - now) / half_life_s)
+
     def estimate_slowdown(self, *, now: float) -> float:
         """Return how slow the target's work is now; 0 if it does not tell."""
         if self.load is None:
@@ -284,9 +301,7 @@
         limit = view.get_limit()
         usage = (view.estimate_in_flight(now=now) + 1) / limit
         queue_ms = max(0.0, usage - 1) * run_ms
-        if view.load is not None:
-            decay = math.exp2((view.load_at - now) / LOAD_HALF_LIFE_S)
-            queue_ms = max(queue_ms, view.load.queue_ms * decay)
+        queue_ms = max(queue_ms, view.estimate_queue_ms(now=now))
         penalty_ms = 0.0
         own_zone_ms = 1000 * OWN_ZONE_SHARE * request.objective_s
         if view.member.zone != request.zone:
--- a/src/pimentoscale/forwarding/registry.py
+++ b/src/pimentoscale/forwarding/registry.py
@@ -134,6 +134,7 @@
             slots=current.slots if current else 1,
             http=settings.outgoing,
             stream=settings.stream,
+            upstream=current.start if current else last.upstream if last else "",
         )
 
     async def _try_put(self, member: Member) -> bool:
@@ -208,7 +209,9 @@
             and member.state is not MemberState.ALIVE
         ):
             now = asyncio.get_running_loop().time()
-            self._target.set_announcement_floor(member.sequence, now=now)
+            self._target.set_announcement_floor(
+                member.sequence, left_start=member.upstream, now=now
+            )
         current = self.make_own_member()
         if current is not None and member != current:
             log.info(
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from pimentoscale.admission import (
+    Entry,
     Load,
     RootRequestLimiter,
     Slot,
@@ -18,6 +19,7 @@
     AttemptOutcome,
     ForwardRequest,
     Messages,
+    StatedCondition,
     TargetAnswer,
     get_deadline,
 )
@@ -86,9 +88,10 @@
         self.in_progress = 0
         self._run_count = 0
         self._load_fault_logged_at = -LOAD_LOG_S
-        # The limit that the upstream states, and the requests sent since the last log
-        # line about it.
-        self.rate_limit: float | None = None
+        # The start of the upstream that `_admission.rate_limit` is about.
+        self._limited_start = ""
+        self._rate_timer: asyncio.TimerHandle | None = None
+        # Time of the last log line about the rate, and the requests sent until then.
         self._rate_logged_at = now
         self._rate_logged_count = 0
         self.get_rank: Callable[[int], float] = lambda importance: 0.0
@@ -122,9 +125,14 @@
             log.info("upstream %s deregistered", identity)
             self._apply_change(self._slots, now)
 
-    def set_announcement_floor(self, serial: int, *, now: float) -> None:
-        """Take announcements up to a serial as stale, as after a restart."""
-        if self.registration.set_floor(serial):
+    def set_announcement_floor(
+        self, serial: int, *, left_start: str, now: float
+    ) -> None:
+        """Take announcements up to a serial as stale, as after a restart.
+
+        So are all of the start that `left_start` identifies, if it is not empty.
+        """
+        if self.registration.set_floor(serial, left_start=left_start):
             log.info("upstream removed: its end was published before the restart")
             self._apply_change(self._slots, now)
 
@@ -132,6 +140,11 @@
         """Set how many connections the upstream accepts."""
         self._client.limit = max(1, limit - SPARE_CONNECTIONS)
 
+    @property
+    def rate_limit(self) -> float | None:
+        """Return the requests a second that the upstream takes, None if no limit."""
+        return self._admission.rate_limit.stated
+
     @property
     def sent_requests(self) -> int:
         """Return how many requests were sent to the upstream."""
@@ -172,6 +185,8 @@
     def close(self) -> None:
         """Close the idle connections."""
         self._client.close()
+        if self._rate_timer is not None:
+            self._rate_timer.cancel()
 
     async def run(self, request: ForwardRequest) -> Attempt:
         """Run one request and return its attempt, with the complete response if any."""
@@ -180,6 +195,8 @@
             return self._add_load(Attempt.make_not_run(ErrorKind.NO_TARGET))
         if current.is_draining:
             return self._add_load(Attempt.make_not_run(ErrorKind.DRAINING))
+        if request.stated is not None:
+            self._adopt_stated(request.stated)
         if request.is_inner:
             return self._add_load(await self._run_admitted(request))
         if not self._root_limiter.try_start(
@@ -193,9 +210,7 @@
             )
             return self._add_load(Attempt(outcome=AttemptOutcome.NOT_RUN, error=error))
         try:
-            started = asyncio.get_running_loop().time()
             attempt = await self._run_admitted(request)
-            self._update_root_limit(request, attempt, started)
             return self._add_load(attempt)
         finally:
             self._root_limiter.end(request.route)
@@ -215,6 +230,8 @@
             if error is not None:
                 return Attempt(outcome=AttemptOutcome.NOT_RUN, error=error)
             attempt = await self._send(request)
+            if not request.is_inner:
+                self._update_root_limit(request, attempt, slot.entry)
             is_overload = attempt.outcome is AttemptOutcome.NOT_RUN and attempt.arrived
             return attempt
         finally:
@@ -222,15 +239,18 @@
             self.in_progress -= 1
 
     def _update_root_limit(
-        self, request: ForwardRequest, attempt: Attempt, started: float
+        self, request: ForwardRequest, attempt: Attempt, entry: Entry
     ) -> None:
         response = attempt.response
         if response is None and attempt.outcome is AttemptOutcome.NOT_RUN:
             return
         now = asyncio.get_running_loop().time()
+        # A wait for the stated rate limit says nothing about the services below.
+        is_limited = self.rate_limit is not None
+        began = entry.started if is_limited else entry.arrived
         was_cut = self._root_limiter.observe(
             request.route,
-            elapsed_s=now - started,
+            elapsed_s=now - began,
             objective_s=request.objective_s,
             failed=response is None or response.status >= MIN_SERVER_ERROR,
             rank=self.get_rank(request.importance),
@@ -242,6 +262,11 @@
             log.info("limit of route %s cut: %s", request.route, details)
 
     def _apply_change(self, slots: int, now: float) -> None:
+        current = self.registration.current
+        if current is not None and current.start != self._limited_start:
+            self._limited_start = current.start
+            self._admission.rate_limit.reset()
+            self._waiters.start_waiting(now=now)
         if slots != self._slots and slots > 0:
             self._admission.set_limit_algorithm(make_target_limit(slots))
             self._root_limiter.set_capacity(slots)
@@ -254,6 +279,13 @@
         """Add the target's load, and whether it calls others, to an attempt."""
         attempt.calls_others = may_call(runs=self._run_count, calls=self.count_calls())
         attempt.load = self.report_load(now=asyncio.get_running_loop().time())
+        current = self.registration.current
+        if current is not None and (current.is_draining or self.rate_limit is not None):
+            attempt.stated = StatedCondition(
+                upstream=current.start,
+                rate_limit=self.rate_limit,
+                is_leaving=current.is_draining,
+            )
         return attempt
 
     async def _acquire_slot(self, slot: Slot) -> CallError | None:
@@ -261,6 +293,7 @@
         loop = asyncio.get_running_loop()
         decision = self._waiters.offer(slot, now=loop.time())
         if decision.verdict is Verdict.WAIT:
+            self._set_rate_timer(loop.time())
             return await self._waiters.wait(slot)
         return decision.error
 
@@ -269,6 +302,7 @@
             return
         now = asyncio.get_running_loop().time()
         self._waiters.release(slot, is_overload=is_overload, now=now)
+        self._set_rate_timer(now)
         self._idle_since = now
 
     async def _send(self, request: ForwardRequest) -> Attempt:
@@ -323,7 +357,10 @@
             connection.close()
             return Attempt.make_unknown(ErrorKind.UPSTREAM_BROKE, detail=str(error))
         run_ms = (loop.time() - started) * 1000
-        return self._interpret_response(connection, request, response, run_ms)
+        answer = self._messages.read_answer(response, request.identity)
+        self._record_told_load(answer)
+        self._record_stated(answer, current.start, now=loop.time())
+        return self._interpret_response(connection, answer, response, run_ms)
 
     def _make_message(
         self, request: ForwardRequest, instance: str, remaining_ms: int
@@ -342,13 +379,10 @@
     def _interpret_response(
         self,
         connection: HttpClientConnection,
-        request: ForwardRequest,
+        answer: TargetAnswer,
         response: HttpResponse,
         run_ms: float,
     ) -> Attempt:
-        answer = self._messages.read_answer(response, request.identity)
-        self._record_told_load(answer)
-        self._record_statements(answer)
         if answer.is_misdirected:
             connection.close()
             attempt = Attempt.make_not_run(
@@ -386,23 +420,67 @@
             self._load_fault_logged_at = now
             log.warning("load told by the upstream ignored: %s", answer.load_fault)
 
-    def _record_statements(self, answer: TargetAnswer) -> None:
-        """Log what the upstream states about its limit and its end."""
-        if answer.is_misdirected:
+    def _record_stated(self, answer: TargetAnswer, start: str, *, now: float) -> None:
+        """Apply what an upstream states about its limit and its end.
+
+        `start` identifies the start of the upstream that made the answer.
+        """
+        current = self.registration.current
+        if answer.is_misdirected or current is None or current.start != start:
             return
-        now = asyncio.get_running_loop().time()
+        limit = self._admission.rate_limit
+        previous = limit.stated
         if answer.rate_limit_fault:
             log.warning("stated rate limit ignored: %s", answer.rate_limit_fault)
-        elif answer.rate_limit != self.rate_limit:
-            log.info(
-                "stated rate limit: %s before=%s sent=%d",
-                answer.rate_limit,
-                self.rate_limit,
-                self._run_count,
-            )
-            self.rate_limit = answer.rate_limit
-            self._rate_logged_at = now
-            self._rate_logged_count = self._run_count
-        current = self.registration.current
-        if answer.is_leaving and current is not None and not current.is_draining:
+        # Only a proven answer can end a limit by not stating it.
+        elif (answer.rate_limit is not None or answer.is_genuine) and limit.record(
+            answer.rate_limit, now=now
+        ):
+            self._apply_rate_limit(previous, source="upstream", now=now)
+        if answer.is_leaving and self.registration.set_leaving():
             log.info("upstream %s states that it leaves", current.identity)
+            self._apply_change(self._slots, now)
+
+    def _adopt_stated(self, stated: StatedCondition) -> None:
+        """Keep a limit of which another node has heard and this one has not yet."""
+        current = self.registration.current
+        if current is None or current.start != stated.upstream:
+            return
+        now = asyncio.get_running_loop().time()
+        limit = self._admission.rate_limit
+        previous = limit.stated
+        if stated.rate_limit is not None and limit.adopt(stated.rate_limit, now=now):
+            self._apply_rate_limit(previous, source="node", now=now)
+
+    def _apply_rate_limit(
+        self, previous: float | None, *, source: str, now: float
+    ) -> None:
+        log.info(
+            "stated rate limit: %s before=%s source=%s sent=%d",
+            self.rate_limit,
+            previous,
+            source,
+            self._run_count,
+        )
+        self._rate_logged_at = now
+        self._rate_logged_count = self._run_count
+        self._waiters.refuse(self._admission.refuse_late(now=now))
+        self._waiters.start_waiting(now=now)
+        if self._rate_timer is not None:
+            self._rate_timer.cancel()
+            self._rate_timer = None
+        self._set_rate_timer(now)
+
+    def _set_rate_timer(self, now: float) -> None:
+        """Start waiting requests again once the rate limit allows the next one."""
+        delay_s = self._admission.get_send_delay_s(now=now)
+        if self._rate_timer is not None or delay_s is None:
+            return
+        loop = asyncio.get_running_loop()
+        self._rate_timer = loop.call_at(now + delay_s, self._start_waiting)
+
+    def _start_waiting(self) -> None:
+        self._rate_timer = None
+        now = asyncio.get_running_loop().time()
+        self._waiters.start_waiting(now=now)
+        self._set_rate_timer(now)
--- a/src/pimentoscale/membership/member.py
+++ b/src/pimentoscale/membership/member.py
@@ -26,7 +26,8 @@
     """The announcement of a node and its upstream.
 
     Every start of the node is a new incarnation. Within one, a member that was
-    wrongly declared gone refutes this with a higher sequence.
+    wrongly declared gone refutes this with a higher sequence. `upstream` identifies the
+    start of the upstream, empty if that is not known.
     """
 
     instance: str
@@ -38,6 +39,7 @@
     slots: int
     http: Address
     stream: Address
+    upstream: str = ""
 
     @property
     def precedence(self) -> tuple[int, int, int]:
--- a/src/pimentoscale/membership/upstream.py
+++ b/src/pimentoscale/membership/upstream.py
@@ -1,6 +1,6 @@
 """The registration of a node's own upstream, from the upstream's announcements."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from pimentoscale.settings import Address
@@ -36,6 +36,14 @@
         """Return the order key: the later announcement has the greater one."""
         return (self.started_ms, self.sequence)
 
+    @property
+    def start(self) -> str:
+        """Return what identifies this start of the upstream.
+
+        An upstream may start again under its identity.
+        """
+        return f"{self.identity}/{self.started_ms}"
+
     @property
     def serial(self) -> int:
         """Return the precedence as one number, for a member record."""
@@ -64,6 +72,7 @@
         "_ended_at",
         "_ended_starts",
         "_floor",
+        "_left_start",
         "address",
         "changed",
         "current",
@@ -77,29 +86,49 @@
         # When upstreams ended whose start is not known, by identity.
         self._ended_at: dict[str, float] = {}
         self._floor = 0
+        self._left_start = ""
 
     @property
     def accepts_work(self) -> bool:
         """Return whether new work may be sent to the upstream."""
         return self.current is not None and not self.current.is_draining
 
-    def set_floor(self, serial: int) -> bool:
+    def set_floor(self, serial: int, *, left_start: str = "") -> bool:
         """Take announcements up to a serial as stale; return whether one was used.
 
         Used after a restart of this node, whose predecessor has published that the
-        upstream of that announcement leaves or has gone.
+        upstream of that announcement leaves or has gone. `left_start` identifies the
+        start of that upstream, all of whose announcements are stale.
         """
         self._floor = max(self._floor, serial)
-        if self.current is None or self.current.serial > self._floor:
+        self._left_start = left_start or self._left_start
+        current = self.current
+        if current is None:
+            return False
+        if current.serial > self._floor and current.start != self._left_start:
             return False
         self.current = None
         return True
 
+    def set_leaving(self) -> bool:
+        """Give the upstream no more work, as it leaves; return whether that is new.
+
+        An upstream may state so before it announces it, or without doing so.
+        """
+        current = self.current
+        if current is None or current.is_draining:
+            return False
+        self.current = replace(current, is_draining=True)
+        self.changed = current.serial
+        return True
+
     def apply(self, announcement: UpstreamAnnouncement, *, now: float) -> ApplyResult:
         """Apply an announcement unless it is stale or about another address."""
         if announcement.address != self.address:
             return ApplyResult.FOREIGN
-        if announcement.serial <= self._floor and not announcement.is_draining:
+        is_left = announcement.start == self._left_start
+        is_outdated = announcement.serial <= self._floor or is_left
+        if is_outdated and not announcement.is_draining:
             return ApplyResult.STALE
         ended_at = self._ended_at.get(announcement.identity)
         if ended_at is not None and now - ended_at < MAX_DELAY_S:
--- a/src/pimentoscale/platform/messages.py
+++ b/src/pimentoscale/platform/messages.py
@@ -25,6 +25,7 @@
 # Requests a second that the target takes from all nodes together.
 _RATE_LIMIT = b"server-limit"
 MAX_RATE_LIMIT_BYTES = 32
+MAX_RATE_LIMIT = 1_000_000.0
 # "1" if the target is about to end.
 _LEAVING = b"server-leaving"
 # Work a hundred times slower than usual is not believed.
@@ -143,4 +144,4 @@
     digits = whole + fraction
     if len(text) > MAX_RATE_LIMIT_BYTES or not digits.isdigit():
         return Err(f"{value[:64]!r} is not a decimal number")
-    return Ok(float(text))
+    return Ok(min(float(text), MAX_RATE_LIMIT))
--- a/src/pimentoscale/stream/frames.py
+++ b/src/pimentoscale/stream/frames.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 
 FRAMES: dict[int, type["Frame"]] = {}
 CODES: dict[type["Frame"], int] = {}
@@ -225,7 +225,10 @@
 
     `timeout_ms` is the time left until the request's deadline. `inner` marks a call
     that a target makes while it runs an admitted request, `returning` a caller that
-    was refused before and tries again. `lines` are the encoded headers.
+    was refused before and tries again. `lines` are the encoded headers. `rate_limit`
+    is the limit, in thousandths of a request a second, that the sender has heard of
+    from the start `upstream` of the receiver's target; `upstream` is empty if it has
+    heard of none.
     """
 
     query: int
@@ -242,6 +245,8 @@
     path: bytes
     lines: bytes
     body: bytes
+    rate_limit: int = 0
+    upstream: str = ""
 
 
 @register_frame(17)
@@ -252,6 +257,9 @@
     `calls_others` that a run of the target may call other services. `lines` are the
     encoded headers. `in_flight`, `limit`, `queue_ms` and `admitted` are the load of
     the target, and `slowdown_percent` is how slow its work is, 0 if it does not tell.
+    `upstream` identifies the start of a target that states a rate limit or is
+    `leaving`; otherwise it is empty. `rate_limit` is in thousandths of a request a
+    second, negative without a limit.
     """
 
     query: int
@@ -270,6 +278,9 @@
     queue_ms: int
     admitted: int
     slowdown_percent: int
+    rate_limit: int = -1
+    leaving: bool = False
+    upstream: str = ""
 
 
 @register_frame(18)
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -134,6 +134,8 @@
             deployment.machines[name].target.rate_header = b"%.1f" % LIMIT
         loop = asyncio.get_running_loop()
         refused: list[str] = []
+        for machine in deployment.machines.values():
+            machine.sidecar.forwarder.origins.add_caller_routes(["once"])
 
         async def send(index: int) -> float:
             identity = f"u{index}"
@@ -187,10 +189,10 @@
     async def scenario(deployment: Deployment) -> None:
         machine = deployment.machines["m2"]
         leaving = machine.target
-        leaving.is_leaving = True
         async with send_steadily(deployment, ("m1", "m4")):
-            await wait_until(lambda: leaving.record.runs.total() > 4)
-            await wait_seconds(0.3)
+            await wait_until(lambda: leaving.record.runs.total() > 10)
+            leaving.is_leaving = True
+            await wait_seconds(0.5)
             deployment.service.faults.is_down = store_is_down
             await deployment.restart_node("m2")
             since = await wait_seconds(DRAIN_BOUND_S + 2)
