Believe a refusal only if it names the request and says that nothing ran

First report: a faulty target writes an earlier refusal once more on a kept connection. A 503 that does not state that nothing ran was passed on as it was, though clients take its status as that promise. Now a refusal without the id is discarded, as one with another id is, and the exchange waits for the request's own answer; a status that promises 'not run' without the statement becomes an indeterminate result (502).

Second report: a target stops in the middle of the head and closes. It can't happen here: six heads cut at every byte never complete an exchange, on the code before as now. The raw server of these tests closes its connections now: writers that were collected after their loop made pytest end with an internal error.

--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -55,6 +55,8 @@
 # A caller whose route is at its limit should retry after this share of its objective.
 ROOT_RETRY_SHARE = 0.5
 MIN_SERVER_ERROR = 500
+# Callers take these statuses as a promise that the request has not run.
+REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
 # Least time between two log lines about told load that is not valid.
 LOAD_LOG_S = 1.0
 # Least time between two log lines about the rate of an upstream that states a limit.
@@ -398,6 +400,10 @@
             connection.close()
             detail = "the answer does not prove that it is the target's"
             return Attempt.make_unknown(ErrorKind.ANSWER_DAMAGED, detail=detail)
+        if response.status in REFUSAL_STATUSES:
+            connection.close()
+            detail = f"status {response.status} without a statement that nothing ran"
+            return Attempt.make_unknown(ErrorKind.ANSWER_DAMAGED, detail=detail)
         kept = drop_connection_headers(response.headers)
         forwarded = HttpResponse(
             status=response.status,
--- a/src/pimentoscale/platform/messages.py
+++ b/src/pimentoscale/platform/messages.py
@@ -80,10 +80,13 @@
     def matches(self, response: HttpResponse, identity: str) -> bool:
         """Return whether an answer echoes the attempt id of the request.
 
-        An answer without an attempt id is accepted too.
+        An answer without an attempt id is accepted too, unless it is a refusal: that
+        may be a copy of an earlier one, while the request runs.
         """
         echoed = response.find(_ATTEMPT)
-        return echoed is None or echoed == identity.encode("latin-1")
+        if echoed is None:
+            return not _is_refusal(response)
+        return echoed == identity.encode("latin-1")
 
     def read_answer(self, response: HttpResponse, identity: str) -> TargetAnswer:
         """Return the decoded headers of a target's answer."""
@@ -107,7 +110,7 @@
                 case Err(reason):
                     rate_limit_fault = reason
         return TargetAnswer(
-            ran=_NOT_RUN not in headers_by_name and response.status != MISDIRECTED,
+            ran=not _is_refusal(response),
             is_genuine=_SIGNATURE in headers_by_name
             and headers_by_name.get(_ATTEMPT) == identity.encode("latin-1"),
             is_misdirected=response.status == MISDIRECTED,
@@ -119,6 +122,11 @@
         )
 
 
+def _is_refusal(response: HttpResponse) -> bool:
+    """Return whether an answer states that the target did not run a request."""
+    return response.status == MISDIRECTED or response.find(_NOT_RUN) is not None
+
+
 def decode_load(value: bytes) -> Result[ToldLoad, str]:
     """Return the load that a target states, or why the value is not valid."""
     figures: list[int] = []
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,9 +1,11 @@
 """Tests of the HTTP server and client on real sockets."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import pytest
 
@@ -18,6 +20,7 @@
     OversizedResponseError,
 )
 from pimentoscale.http.client import MAX_RESPONSE_BYTES
+from pimentoscale.platform.messages import PlatformMessages
 from pimentoscale.settings import Address
 
 HOST = "127.0.0.1"
@@ -32,8 +35,22 @@
 
 
 async def start_raw(handler: RawHandler) -> tuple[asyncio.Server, HttpClient]:
-    """Start a TCP server with a raw handler, and an HTTP client of it."""
-    server = await asyncio.start_server(handler, HOST, 0)
+    """Start a TCP server with a raw handler, and an HTTP client of it.
+
+    The server closes a connection after its handler once the client has closed it.
+    """
+
+    async def handle(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await handler(reader, writer)
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(handle, HOST, 0)
     address = Address(host=HOST, port=find_port(server))
     return server, HttpClient(address=address, limit=4)
 
@@ -243,6 +260,76 @@
     assert not usable
 
 
+@pytest.mark.parametrize("identity", [b"attempt-id: a\r\n", b""])
+def test_repeated_refusal_on_a_kept_connection_is_not_taken_for_the_next_request(
+    identity: bytes,
+) -> None:
+    refusal = b"HTTP/1.1 503 Full\r\nnot-executed: 1\r\ncontent-length: 0\r\n"
+    own = b"HTTP/1.1 200 OK\r\nattempt-id: b\r\ncontent-length: 3\r\n\r\nown"
+    messages = PlatformMessages()
+
+    async def write(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_head(reader)
+        writer.write(refusal + b"attempt-id: a\r\n\r\n")
+        await read_head(reader)
+        # The answer comes later, once the request has run.
+        writer.write(refusal + identity + b"\r\n")
+        await writer.drain()
+        writer.write(own)
+
+    async def run() -> tuple[int, int, bool]:
+        loop = asyncio.get_running_loop()
+        server, client = await start_raw(write)
+        connection = await client.acquire(now=loop.time())
+        statuses = []
+        for name in ("a", "b"):
+            async with asyncio.timeout(TIMEOUT_S):
+                response = await connection.exchange(
+                    make_request(),
+                    accepts=partial(messages.matches, identity=name),
+                )
+            statuses.append(response.status)
+        usable = connection.is_usable(now=loop.time())
+        server.close()
+        return statuses[0], statuses[1], usable
+
+    assert asyncio.run(run()) == (503, 200, False)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nid: a\r\nresponse-signature: s\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nid: a\r\nsignature: s\r\ncontent-length: 2\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nid: a\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 103 Early\r\nlink: x\r\n\r\nHTTP/1.1 200 OK\r\nid: a\r\n\r\n",
+        b"HTTP/1.1 204 None\r\nid: a\r\n\r\n",
+        b"HTTP/1.0 200 OK\r\nid: a\r\n\r\n",
+    ],
+)
+def test_response_that_stops_anywhere_in_its_head_is_never_complete(
+    head: bytes,
+) -> None:
+    cuts = iter(range(len(head)))
+
+    async def write(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_head(reader)
+        writer.write(head[: next(cuts)])
+        writer.close()
+
+    async def run() -> None:
+        server, client = await start_raw(write)
+        for _ in range(len(head)):
+            connection = await client.acquire(now=0.0)
+            with pytest.raises(IncompleteResponseError):
+                async with asyncio.timeout(TIMEOUT_S):
+                    await connection.exchange(make_request())
+            client.release(connection, now=0.0)
+        server.close()
+
+    asyncio.run(run())
+
+
 def test_connection_with_bytes_after_a_complete_response_is_not_reused() -> None:
     async def write(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await read_head(reader)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -137,6 +137,35 @@
     return HttpResponse(status=200, body=b"not signed")
 
 
+async def refuse_without_identity(request: HttpRequest) -> HttpResponse | None:
+    """Refuse, as a copy of an earlier refusal that names no request."""
+    return HttpResponse(status=503, headers=[(b"not-executed", b"1")])
+
+
+async def refuse_without_proof(request: HttpRequest) -> HttpResponse | None:
+    """Send the status of a refusal without the statement that nothing ran."""
+    identity = request.find(b"attempt-id") or b""
+    headers = [(b"attempt-id", identity), (b"response-signature", b"s")]
+    return HttpResponse(status=503, headers=headers)
+
+
+@pytest.mark.parametrize("respond", [refuse_without_identity, refuse_without_proof])
+def test_unsafe_request_is_not_called_refused_by_an_unproven_refusal(
+    respond: Callable[[HttpRequest], Awaitable[HttpResponse | None]],
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        for machine in list_b(deployment):
+            machine.target.run_handler = respond
+        response = await deployment.send(
+            "m1", "/once/x", method=b"POST", identity="one", remaining_ms=1000
+        )
+        # The targets count it as run.
+        assert deployment.count_runs()["one"] == 1
+        assert response.status in (502, 504)
+
+    run_scenario(scenario)
+
+
 def test_unsafe_request_that_a_target_rejects_is_retried_at_another() -> None:
     async def scenario(deployment: Deployment) -> None:
         full, free = list_b(deployment)
