Answer or refuse requests until the end of a planned stop

Now a request that comes late is refused unless twice its usual time is left; all deadlines end before the node does, so that targets answer themselves; what is still in progress gets a 504 before the process ends. A grace period that changes during the stop is followed as before.

test_requests_until_the_end_of_a_stop_are_answered_or_refused_never_cut failed before and passes now, with the other tests of stops.

--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -1,6 +1,7 @@
 """Forwards requests to nodes and returns the responses to the senders."""
 
 import asyncio
+import math
 import random
 
 from msgspec.structs import replace
@@ -47,6 +48,9 @@
 # The target's node ends a request at its deadline. The entry node waits this much
 # longer for that result before it ends the request itself.
 ANSWER_GRACE_S = 0.15
+# While the node stops, a request that has just come must be expected to end within the
+# time left divided by this.
+STOP_TIME_FACTOR = 2.0
 # Time left that is assumed if the sender states none.
 DEFAULT_REMAINING_S = 60.0
 # Rough size of the head of a request or a response.
@@ -83,6 +87,8 @@
         self._importance_range = (0, 0)
         # Version of the routes and number of caller routes at the last update.
         self._importance_range_key = (0, 0)
+        # The limits of time of the requests in progress, none until the node stops.
+        self._time_limits: set[asyncio.Timeout] = set()
         self.in_progress = 0
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -93,6 +99,11 @@
         finally:
             self.in_progress -= 1
 
+    def limit_time(self, stop_at: float) -> None:
+        """End the requests in progress at a time, with an answer that says so."""
+        for limit in self._time_limits:
+            limit.reschedule(stop_at)
+
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         now = asyncio.get_running_loop().time()
         table = self._state.table
@@ -116,10 +127,22 @@
             now=now,
         )
         forward = self._make_forward(request, metadata, route, now)
-        if self._state.refuses_callers and not forward.is_inner:
+        if self._state.refuses_callers and not self._can_end(forward, now=now):
             error = CallError(kind=ErrorKind.DRAINING, detail="the node stops")
             return self._responses.build_error(error, forward.identity, forward.route)
-        history = await self._run(forward, route)
+        history = AttemptHistory()
+        limit = asyncio.timeout_at(self._get_time_limit())
+        self._time_limits.add(limit)
+        try:
+            async with limit:
+                await self._run(forward, route, history)
+        except TimeoutError:
+            history.last = Attempt.make_unknown(
+                ErrorKind.DEADLINE_WHILE_RUNNING, detail="the node stops"
+            )
+            history.may_have_run = True
+        finally:
+            self._time_limits.discard(limit)
         has_targets = bool(self._views.list(forward.service))
         return self._responses.build(
             forward,
@@ -129,6 +152,20 @@
             now=asyncio.get_running_loop().time(),
         )
 
+    def _get_time_limit(self) -> float | None:
+        """Return when the node ends what is in progress; None if it does not stop."""
+        return None if math.isinf(self._state.stop_at) else self._state.stop_at
+
+    def _can_end(self, forward: ForwardRequest, *, now: float) -> bool:
+        """Return whether a request that comes late in a stop may end before the node.
+
+        Calls of the local target may, since it still runs requests that need them;
+        requests of callers should go to another node.
+        """
+        run_ms = self._placement.averages.get_run_ms(route=forward.route)
+        expected_s = STOP_TIME_FACTOR * run_ms / 1000
+        return forward.is_inner and now + expected_s < forward.deadline
+
     def _make_forward(
         self, request: HttpRequest, metadata: RequestMetadata, route: Route, now: float
     ) -> ForwardRequest:
@@ -156,7 +193,10 @@
             importance=route.importance,
             is_inner=self.origins.is_inner(route.name),
             was_refused=self.origins.was_refused(route.name, remaining_s=remaining_s),
-            deadline=now + min(remaining_s, route.timeout_s),
+            deadline=min(
+                now + min(remaining_s, route.timeout_s),
+                self._state.stop_at - ANSWER_GRACE_S,
+            ),
             objective_s=min(route.objective_s, route.timeout_s),
             suspended_s=read_suspended_s(),
             message=message,
@@ -189,10 +229,14 @@
             self._importance_range_key = key
         return self._importance_range
 
-    async def _run(self, forward: ForwardRequest, route: Route) -> AttemptHistory:
-        """Attempt the request until a target answers or no attempt is left."""
+    async def _run(
+        self, forward: ForwardRequest, route: Route, history: AttemptHistory
+    ) -> None:
+        """Attempt the request until a target answers or no attempt is left.
+
+        The attempts are added to `history`.
+        """
         loop = asyncio.get_running_loop()
-        history = AttemptHistory()
         budget = self._get_budget(forward.service)
         budget.record_request(now=loop.time())
         placement = PlacementRequest(
@@ -227,7 +271,6 @@
                 if attempt.error.kind is ErrorKind.RATE_LIMITED:
                     # A limit says nothing about the other targets of the service.
                     max_attempts = MAX_ATTEMPTS
-        return history
 
     def _may_continue(
         self,
--- a/src/pimentoscale/forwarding/stopping.py
+++ b/src/pimentoscale/forwarding/stopping.py
@@ -29,6 +29,8 @@
 
 # Part of the grace period that is left for closing.
 STOP_MARGIN_S = 0.45
+# Part of it in which requests still in progress get their last answer.
+LAST_ANSWERS_S = 0.1
 STOP_POLL_S = 0.05
 
 log = get_logger("sidecar")
@@ -75,12 +77,15 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         while True:
+            # The settings may change meanwhile.
+            grace_s = self._state.settings.stop_grace_s - STOP_MARGIN_S
+            self._limit_requests(started + grace_s - LAST_ANSWERS_S)
             elapsed_s = loop.time() - started
             self._take_steps(elapsed_s)
             busy = self._count_in_progress()
             if elapsed_s >= CALLERS_MOVED_S and busy == 0:
                 break
-            if elapsed_s >= self._state.settings.stop_grace_s - STOP_MARGIN_S:
+            if elapsed_s >= grace_s:
                 log.warning(
                     "grace period over: stopping with %d requests in progress", busy
                 )
@@ -90,6 +95,12 @@
         log.info("stopped after %.2f s", loop.time() - started)
         self._on_stopped()
 
+    def _limit_requests(self, stop_at: float) -> None:
+        """End the requests in progress at a time on the event loop's clock."""
+        if stop_at != self._state.stop_at:
+            self._state.stop_at = stop_at
+            self._forwarder.limit_time(stop_at)
+
     def _take_steps(self, elapsed_s: float) -> None:
         if elapsed_s >= NOTIFY_NODES_S and not self._state.is_draining:
             self._state.is_draining = True
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -153,15 +153,19 @@
         await sidecar.start()
         return sidecar
 
-    async def restart_node(self, name: str) -> Sidecar:
-        """Close a node with all its connections, and start it again."""
-        machine = self.machines[name]
-        old = machine.sidecar
-        old.close()
-        for server in (old._outgoing, old._announcements):
+    def end_node(self, name: str) -> None:
+        """Close a node with all its connections, as the end of its process does."""
+        node = self.machines[name].sidecar
+        node.close()
+        for server in (node._outgoing, node._announcements):
             for connection in list(server.connections):
                 assert connection._transport is not None
                 connection._transport.abort()
+
+    async def restart_node(self, name: str) -> Sidecar:
+        """Close a node with all its connections, and start it again."""
+        self.end_node(name)
+        machine = self.machines[name]
         machine.sidecar = await self.start_node(machine.settings)
         return machine.sidecar
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
-from dataclasses import replace as replace_member
+from dataclasses import replace as replace_data
 from typing import Any
 
 import pytest
@@ -12,6 +12,7 @@
 from pimentoscale.admission import RootRequestLimiter
 from pimentoscale.forwarding import exchange
 from pimentoscale.forwarding.exchange import ForwardRequest
+from pimentoscale.forwarding.origins import OriginTracker
 from pimentoscale.forwarding.stopping import CALLERS_MOVED_S
 from pimentoscale.http import HttpRequest, HttpResponse
 from pimentoscale.http.client import MAX_RESPONSE_BYTES
@@ -386,6 +387,53 @@
     run_scenario(scenario)
 
 
+def test_requests_until_the_end_of_a_stop_are_answered_or_refused_never_cut(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        for machine in list_b(deployment):
+            machine.target.run_s = 1.2
+        stopping = deployment.machines["m2"].sidecar
+        # Calls of targets are accepted longer than requests of callers.
+        monkeypatch.setattr(
+            OriginTracker, "is_inner", lambda self, route: route == "once"
+        )
+        stopping.state.settings = replace_data(
+            stopping.state.settings, stop_grace_s=4.5
+        )
+        statuses: dict[str, int] = {}
+
+        async def send(identity: str, route: str, remaining_ms: int) -> None:
+            response = await deployment.send(
+                "m2", f"/{route}/x", identity=identity, remaining_ms=remaining_ms
+            )
+            statuses[identity] = response.status
+
+        # One that outlasts the grace period keeps the node running until its end.
+        deployment.machines["m3"].target.run_s = 20.0
+        tasks = [
+            asyncio.create_task(send(f"before{index}", "rb", 15_000))
+            for index in range(4)
+        ]
+        await wait_until(lambda: len(deployment.count_runs()) == 4)
+        stopping.stop()
+        while not stopping._stopped.is_set():
+            name = f"late{len(tasks)}"
+            tasks.append(asyncio.create_task(send(name, "once", 3000)))
+            await asyncio.sleep(0.05)
+        deployment.end_node("m2")
+        # Raises an error if a connection ended without a complete response.
+        await asyncio.gather(*tasks)
+        runs = deployment.count_runs()
+        refused = [name for name, status in statuses.items() if status == 503]
+        assert refused
+        assert not any(runs.get(name) for name in refused)
+        assert set(statuses.values()) <= {200, 502, 503, 504}
+        assert max(runs.values()) == 1
+
+    run_scenario(scenario)
+
+
 def test_starting_node_reads_caller_routes_from_the_store() -> None:
     async def scenario(deployment: Deployment) -> None:
         node = deployment.machines["m1"].sidecar
@@ -416,7 +464,7 @@
         assert own is not None
         await wait_until(lambda: others.views.find("m2") is not None)
         # The store completes a write seconds after its response was lost.
-        old = replace_member(own, state=MemberState.DRAINING)
+        old = replace_data(own, state=MemberState.DRAINING)
         record = bytes((2,)) + b"m2" + encode_member(old)
         deployment.service.append("keyed.members", [record], at=None, now=0.0)
         await wait_until(lambda: others.views.find("m2") is None)
@@ -539,7 +587,7 @@
     member = node.state.members[name]
     relay = Relay(listen=find_address(), target=member.stream)
     await relay.start()
-    moved = replace_member(member, stream=relay.listen)
+    moved = replace_data(member, stream=relay.listen)
     node.state.members[name] = moved
     node.views.put(moved)
     node.links.update_member(moved, now=asyncio.get_running_loop().time())
