Soak targets that state a rate limit, and that they leave before they announce it

The fault limit lets a target state 1 to 6 requests a second for up to 11 s and checks each window of 4 s against the users' bound, whatever else is going on. A target that leaves says so in its answers, up to a second before it announces it in half of the cases.

--- a/src/pimentoscale_bench/soak/faults.py
+++ b/src/pimentoscale_bench/soak/faults.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import signal
+from bisect import bisect_right
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -33,6 +34,15 @@
 MAX_CUT_S = 5.0
 MAX_DELAY_S = 0.3
 MAX_SILENCE_S = 2.0
+# A target that states a rate limit gets in each window at most this factor times what
+# the limit allows, plus some requests, from some seconds after it first did so (the
+# users' bounds).
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
+LIMIT_NOTICE_S = 3.0
+LIMIT_RATES = (1.0, 2.5, 6.0)
+MAX_LIMIT_S = 8.0
 NOT_FOUND = 404
 OK = 200
 ANNOUNCE_ATTEMPTS = 20
@@ -254,14 +264,48 @@
         )
 
 
+@register_fault("limit")
+async def limit_target(context: FaultContext) -> str:
+    """Let a target state a rate limit for a while, and check what it gets."""
+    target = context.choose_node().target
+    if target.rate_header:
+        return f"{target.identity} already states a limit"
+    rate = context.rng.choice(LIMIT_RATES)
+    target.rate_header = f"{rate}".encode()
+    since = _get_now() + LIMIT_NOTICE_S
+    await asyncio.sleep(LIMIT_NOTICE_S + context.choose_seconds(MAX_LIMIT_S))
+    target.rate_header = b""
+    until = _get_now()
+    times = [at for at in target.record.arrived_at if since <= at <= until]
+    most = max(
+        (
+            bisect_right(times, at + LIMIT_WINDOW_S) - index
+            for index, at in enumerate(times)
+        ),
+        default=0,
+    )
+    if most > LIMIT_FACTOR * rate * LIMIT_WINDOW_S + LIMIT_EXTRA:
+        context.deployment.record.breaches.append(
+            f"{target.identity} states a limit of {rate} a second and received "
+            f"{most} requests in {LIMIT_WINDOW_S} s"
+        )
+    return f"{target.identity} {rate} a second, {most} in {LIMIT_WINDOW_S} s"
+
+
 @register_fault("drain")
 async def drain_target(context: FaultContext) -> str:
-    """Drain a target and replace it by a new one."""
+    """Drain a target and replace it by a new one.
+
+    Its answers state that it leaves; it may say so before it announces it.
+    """
     node, deployment = context.choose_node(), context.deployment
     if node.is_restarting:
         return f"{node.name} is being restarted"
     node.is_restarting = True
     old_target = node.target
+    old_target.is_leaving = True
+    if context.rng.random() < 0.5:
+        await asyncio.sleep(context.choose_seconds(SETTLE_S))
     old_target.state = "draining"
     acknowledged = await _announce(old_target)
     await asyncio.sleep(DRAIN_BOUND_S + SETTLE_S)
