Let no route yield to one that always fails

Now a route is degraded only if far more of its answers are bad than usual.

The test failed before.

--- a/src/pimentoscale/admission/root_limiter.py
+++ b/src/pimentoscale/admission/root_limiter.py
@@ -41,6 +41,9 @@
 # A route is degraded above this share of bad answers. Without overload, the longest
 # runs alone account for a few per cent.
 DEGRADED_SHARE = 0.2
+# It must also be above this multiple of the route's usual share: a route that has
+# always failed so often is no sign of an overload, and yielding to it helps nobody.
+DEGRADED_RATIO = 1.5
 # A route is slow from this ratio of its recent to its baseline time. Lower ratios cut
 # routes without need in the model in tests/tree_model.py.
 SLOW_RATIO = 1.5
@@ -58,11 +61,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class _RouteState:
-    # `bad_share` is the smoothed share of bad answers. `recent_s` and `baseline_s` are
-    # the short-term and the long-term average time of a request.
+    # `bad_share` and `usual_bad_share` are the short-term and the long-term share of
+    # bad answers, `recent_s` and `baseline_s` those averages of the time of a request.
     limit: float
     running: int = 0
     bad_share: float = 0.0
+    usual_bad_share: float = 0.0
     cut_at: float = 0.0
     importance: int = 0
     answers: int = 0
@@ -77,21 +81,34 @@
             self.answers >= MIN_ANSWERS and self.recent_s > SLOW_RATIO * self.baseline_s
         )
 
+    @property
+    def is_degraded(self) -> bool:
+        """Return whether far more answers than usual are bad."""
+        usual_share = DEGRADED_RATIO * self.usual_bad_share
+        return self.bad_share > max(DEGRADED_SHARE, usual_share)
+
     def add_time(self, elapsed_s: float) -> None:
         """Update the recent and the baseline time from one request."""
         self.answers += 1
         # The first answers have equal weight, so that no single one sets the baseline.
         smoothing = max(RECENT_SMOOTHING, 1 / self.answers)
         self.recent_s += smoothing * (elapsed_s - self.recent_s)
-        if self.answers < MIN_ANSWERS:
-            self.baseline_s = self.recent_s
-            return
-        baseline_smoothing = (
-            BASELINE_FALL_SMOOTHING
-            if self.recent_s < self.baseline_s
-            else BASELINE_RISE_SMOOTHING
+        self.baseline_s = self._update_baseline(self.baseline_s, self.recent_s)
+
+    def add_result(self, *, is_bad: bool) -> None:
+        """Update the recent and the usual share of bad answers."""
+        self.bad_share += BAD_SHARE_SMOOTHING * (is_bad - self.bad_share)
+        self.usual_bad_share = self._update_baseline(
+            self.usual_bad_share, self.bad_share
         )
-        self.baseline_s += baseline_smoothing * (self.recent_s - self.baseline_s)
+
+    def _update_baseline(self, baseline: float, recent: float) -> float:
+        """Return the new baseline of an average; the first answers set it."""
+        if self.answers < MIN_ANSWERS:
+            return recent
+        falls = recent < baseline
+        smoothing = BASELINE_FALL_SMOOTHING if falls else BASELINE_RISE_SMOOTHING
+        return baseline + smoothing * (recent - baseline)
 
 
 class RootRequestLimiter:
@@ -156,7 +173,7 @@
         state.add_time(elapsed_s)
         must_yield = state.is_slow and self._must_yield(importance, now)
         is_bad = failed or elapsed_s > good_s or must_yield
-        state.bad_share += BAD_SHARE_SMOOTHING * (is_bad - state.bad_share)
+        state.add_result(is_bad=is_bad)
         if state.bad_share > cut_share:
             if is_bad and now - state.cut_at >= CUT_INTERVAL_S:
                 base = min(state.limit, state.running + 1.0)
@@ -177,8 +194,7 @@
         degraded = [
             state.importance
             for state in self._routes.values()
-            if state.bad_share > DEGRADED_SHARE
-            and now - state.observed_at < DEGRADED_HOLD_S
+            if state.is_degraded and now - state.observed_at < DEGRADED_HOLD_S
         ]
         return max(degraded, default=None)
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -255,6 +255,33 @@
     )
 
 
+def test_route_that_always_fails_makes_no_other_route_yield() -> None:
+    limiter = RootRequestLimiter(capacity=100)
+
+    def answer(*, failed: bool, now: float) -> int | None:
+        limiter.try_start("r")
+        limiter.observe(
+            "r",
+            elapsed_s=0.4,
+            objective_s=1.0,
+            failed=failed,
+            rank=1.0,
+            importance=7,
+            now=now,
+        )
+        limiter.end("r")
+        return limiter.get_degraded_importance(now=now)
+
+    seen = [answer(failed=index % 5 < 3, now=index / 10) for index in range(400)]
+    # While nothing usual is known, the route may count as degraded.
+    assert set(seen[60:]) == {None}
+    # Once it has served well, failures are a sign again.
+    for index in range(400, 2400):
+        answer(failed=False, now=index / 10)
+    seen = [answer(failed=index % 5 < 3, now=index / 10) for index in range(2400, 2450)]
+    assert seen[-1] == 7
+
+
 def test_route_that_only_targets_call_is_identified_as_inner() -> None:
     origins = OriginTracker(now=0.0)
     record_request(origins, connection=1, route="root", idle_s=2 * MIN_IDLE_S)
