--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,6 +1,7 @@
 """Unit tests of decisions about forwarded requests; the time is an argument."""
 
 import random
+from dataclasses import replace as replace_member
 from typing import Any
 
 import pytest
@@ -20,6 +21,12 @@
 from pimentoscale.errors import ErrorKind
 from pimentoscale.forwarding import placement as placement_module
 from pimentoscale.forwarding.entries import get_usable_slots
+from pimentoscale.forwarding.exchange import (
+    Attempt,
+    AttemptOutcome,
+    StatedCondition,
+)
+from pimentoscale.forwarding.frames import make_forward_reply, read_forward_reply
 from pimentoscale.forwarding.origins import (
     INNER_MIN_REQUESTS,
     MIN_IDLE_S,
@@ -41,6 +48,7 @@
     get_slack_share,
     may_call,
 )
+from pimentoscale.forwarding.views import NodeViews
 from pimentoscale.membership import Member, MemberState
 from pimentoscale.membership.upstream import (
     MAX_DELAY_S,
@@ -570,6 +578,70 @@
     assert not registration.set_floor(make_announcement(sequence=9).serial)
 
 
+def test_upstream_that_states_that_it_leaves_gets_no_work_again_in_that_start() -> None:
+    registration = UpstreamRegistration(address=ADDRESS)
+    first = make_announcement()
+    registration.apply(first, now=0.0)
+    assert registration.set_leaving()
+    assert not registration.set_leaving()
+    registration.apply(make_announcement(sequence=5), now=1.0)
+    assert not registration.accepts_work
+    # The node restarts; announcements that it has not seen before are stale too.
+    restarted = UpstreamRegistration(address=ADDRESS)
+    restarted.apply(make_announcement(sequence=8), now=2.0)
+    assert restarted.set_floor(registration.changed, left_start=first.start)
+    late = make_announcement(sequence=9)
+    assert restarted.apply(late, now=3.0) is ApplyResult.STALE
+    again = make_announcement(started_ms=900)
+    assert restarted.apply(again, now=4.0) is ApplyResult.CHANGED
+    assert restarted.accepts_work
+
+
+def test_what_an_upstream_stated_outlives_its_node_but_not_itself() -> None:
+    views = NodeViews(own_instance="own", rng=random.Random(1))
+    member = replace_member(make_view("m").member, upstream="i/1")
+    views.put(member)
+    view = views.find("m")
+    assert view is not None
+    limited = StatedCondition(upstream="i/1", rate_limit=5.0)
+    views.record_stated(view, limited, has_answered=True)
+    # A refusal of the restarted node, which has not heard of the limit, ends nothing.
+    views.put(replace_member(member, incarnation=2))
+    view = views.find("m")
+    assert view is not None
+    views.record_stated(view, None, has_answered=False)
+    assert view.stated == limited
+    views.record_stated(view, None, has_answered=True)
+    assert view.stated is None
+    leaving = StatedCondition(upstream="i/1", is_leaving=True)
+    views.record_stated(view, leaving, has_answered=True)
+    views.put(replace_member(member, incarnation=3))
+    assert views.find("m") is None
+    views.put(replace_member(member, incarnation=3, upstream="i/2"))
+    view = views.find("m")
+    assert view is not None
+    assert view.stated is None
+    # A late answer of the upstream before does not remove the one that took its place.
+    views.record_stated(view, leaving, has_answered=True)
+    assert views.find("m") is view
+
+
+@pytest.mark.parametrize(
+    "stated",
+    [
+        None,
+        StatedCondition(upstream="i/1", rate_limit=37.2),
+        StatedCondition(upstream="i/1", rate_limit=0.0),
+        StatedCondition(upstream="i/1", is_leaving=True),
+    ],
+)
+def test_stated_condition_is_the_same_on_both_sides_of_a_stream(
+    stated: StatedCondition | None,
+) -> None:
+    attempt = Attempt(outcome=AttemptOutcome.UNKNOWN, stated=stated)
+    assert read_forward_reply(make_forward_reply(1, attempt)).stated == stated
+
+
 def test_announcement_of_another_address_is_ignored() -> None:
     registration = UpstreamRegistration(address=ADDRESS)
     foreign = make_announcement(address=Address(host="10.0.0.2", port=80))
