--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,10 +9,10 @@
 from pimentoscale_bench.soak.record import STOP, Disturbance, Exchange, SoakRecord
 from pimentoscale_bench.soak.run import SoakRun
 
-# The run of this seed injects faults of each group. It checks the guarantees, not the
-# latency.
-SEED = 11
-SECONDS = 6.0
+# These runs check the guarantees, not the latency.
+SECONDS = 20.0
+# Faults that restart or hold up nodes while targets state limits and leave.
+RESTARTS = ["limit", "limit", "drain", "kill", "terminate", "pause"]
 
 
 def make_exchange(**changes: object) -> Exchange:
@@ -90,10 +90,15 @@
     asyncio.run(run())
 
 
-def test_short_soak_has_no_breaches(tmp_path: Path) -> None:
+@pytest.mark.parametrize(
+    ("seed", "faults"), [(11, list(FAULTS)), (12, list(FAULTS)), (13, RESTARTS)]
+)
+def test_short_soak_has_no_breaches(
+    seed: int, faults: list[str], tmp_path: Path
+) -> None:
     folder = tmp_path / "soak"
-    soak_run = SoakRun(seed=SEED, seconds=SECONDS, processes=6, folder=folder)
-    report = asyncio.run(soak_run.run(faults=list(FAULTS)))
+    soak_run = SoakRun(seed=seed, seconds=SECONDS, processes=6, folder=folder)
+    report = asyncio.run(soak_run.run(faults=faults))
     assert report.breaches == []
     assert report.requests > 0
     assert report.statuses[200] > 0
