Split the waiting requests from the local target, time limits from the forwarder

forwarding/target_queue.py holds the slots, the queue and the stated rate; target.py keeps the registration, the limits of routes and the exchange. forwarding/time_limits.py ends requests when a node stops.

--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -1,7 +1,6 @@
 """Forwards requests to nodes and returns the responses to the senders."""
 
 import asyncio
-import math
 import random
 
 from msgspec.structs import replace
@@ -29,6 +28,7 @@
 from pimentoscale.forwarding.retries import RetryBudget, get_slack_share
 from pimentoscale.forwarding.state import SidecarState
 from pimentoscale.forwarding.target import LocalTarget
+from pimentoscale.forwarding.time_limits import TimeLimits
 from pimentoscale.forwarding.views import NodeViews
 from pimentoscale.http import HttpRequest, HttpResponse, drop_connection_headers
 from pimentoscale.logs import get_logger
@@ -87,8 +87,7 @@
         self._importance_range = (0, 0)
         # Version of the routes and number of caller routes at the last update.
         self._importance_range_key = (0, 0)
-        # The limits of time of the requests in progress, none until the node stops.
-        self._time_limits: set[asyncio.Timeout] = set()
+        self.time_limits = TimeLimits()
         self.in_progress = 0
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -99,11 +98,6 @@
         finally:
             self.in_progress -= 1
 
-    def limit_time(self, stop_at: float) -> None:
-        """End the requests in progress at a time, with an answer that says so."""
-        for limit in self._time_limits:
-            limit.reschedule(stop_at)
-
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         now = asyncio.get_running_loop().time()
         table = self._state.table
@@ -131,18 +125,14 @@
             error = CallError(kind=ErrorKind.DRAINING, detail="the node stops")
             return self._responses.build_error(error, forward.identity, forward.route)
         history = AttemptHistory()
-        limit = asyncio.timeout_at(self._get_time_limit())
-        self._time_limits.add(limit)
         try:
-            async with limit:
+            async with self.time_limits.limit():
                 await self._run(forward, route, history)
         except TimeoutError:
             history.last = Attempt.make_unknown(
                 ErrorKind.DEADLINE_WHILE_RUNNING, detail="the node stops"
             )
             history.may_have_run = True
-        finally:
-            self._time_limits.discard(limit)
         has_targets = bool(self._views.list(forward.service))
         return self._responses.build(
             forward,
@@ -152,10 +142,6 @@
             now=asyncio.get_running_loop().time(),
         )
 
-    def _get_time_limit(self) -> float | None:
-        """Return when the node ends what is in progress; None if it does not stop."""
-        return None if math.isinf(self._state.stop_at) else self._state.stop_at
-
     def _can_end(self, forward: ForwardRequest, *, now: float) -> bool:
         """Return whether a request that comes late in a stop may end before the node.
 
@@ -195,7 +181,7 @@
             was_refused=self.origins.was_refused(route.name, remaining_s=remaining_s),
             deadline=min(
                 now + min(remaining_s, route.timeout_s),
-                self._state.stop_at - ANSWER_GRACE_S,
+                self.time_limits.stop_at - ANSWER_GRACE_S,
             ),
             objective_s=min(route.objective_s, route.timeout_s),
             suspended_s=read_suspended_s(),
--- a/src/pimentoscale/forwarding/state.py
+++ b/src/pimentoscale/forwarding/state.py
@@ -1,6 +1,5 @@
 """State that all parts of a sidecar share."""
 
-import math
 from dataclasses import dataclass, field
 
 from pimentoscale.forwarding.settings import SidecarSettings
@@ -21,8 +20,7 @@
     A node stops in three steps. While `is_stopping`, it reports itself as not ready,
     so that the platform sends it no new callers. While `is_draining`, other nodes
     should send it no requests either. At last `refuses_callers` is set: requests of
-    callers that still send to it might not finish before it ends. At `stop_at`, on the
-    event loop's clock, it ends whatever is still in progress; infinite until it stops.
+    callers that still send to it might not finish before it ends.
     """
 
     settings: SidecarSettings
@@ -34,7 +32,6 @@
     is_stopping: bool = False
     is_draining: bool = False
     refuses_callers: bool = False
-    stop_at: float = math.inf
 
     @property
     def version(self) -> int:
--- a/src/pimentoscale/forwarding/stopping.py
+++ b/src/pimentoscale/forwarding/stopping.py
@@ -79,7 +79,7 @@
         while True:
             # The settings may change meanwhile.
             grace_s = self._state.settings.stop_grace_s - STOP_MARGIN_S
-            self._limit_requests(started + grace_s - LAST_ANSWERS_S)
+            self._forwarder.time_limits.set_stop(started + grace_s - LAST_ANSWERS_S)
             elapsed_s = loop.time() - started
             self._take_steps(elapsed_s)
             busy = self._count_in_progress()
@@ -95,12 +95,6 @@
         log.info("stopped after %.2f s", loop.time() - started)
         self._on_stopped()
 
-    def _limit_requests(self, stop_at: float) -> None:
-        """End the requests in progress at a time on the event loop's clock."""
-        if stop_at != self._state.stop_at:
-            self._state.stop_at = stop_at
-            self._forwarder.limit_time(stop_at)
-
     def _take_steps(self, elapsed_s: float) -> None:
         if elapsed_s >= NOTIFY_NODES_S and not self._state.is_draining:
             self._state.is_draining = True
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -3,17 +3,9 @@
 import asyncio
 from collections.abc import Callable
 
-from pimentoscale.admission import (
-    Entry,
-    Load,
-    RootRequestLimiter,
-    Slot,
-    SlotWaiters,
-    UrgencyAdmission,
-    Verdict,
-)
+from pimentoscale.admission import Entry, Load, RootRequestLimiter, Slot
 from pimentoscale.errors import CallError, ErrorKind
-from pimentoscale.forwarding.entries import make_entry, make_target_limit
+from pimentoscale.forwarding.entries import make_entry
 from pimentoscale.forwarding.exchange import (
     Attempt,
     AttemptOutcome,
@@ -25,6 +17,7 @@
 )
 from pimentoscale.forwarding.retries import may_call
 from pimentoscale.forwarding.settings import SidecarSettings
+from pimentoscale.forwarding.target_queue import TargetQueue
 from pimentoscale.http import (
     HttpClient,
     HttpClientConnection,
@@ -57,10 +50,6 @@
 MIN_SERVER_ERROR = 500
 # Callers take these statuses as a promise that the request has not run.
 REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
-# Least time between two log lines about told load that is not valid.
-LOAD_LOG_S = 1.0
-# Least time between two log lines about the rate of an upstream that states a limit.
-RATE_LOG_S = 1.0
 # Connections of the upstream's limit that this node leaves unused.
 SPARE_CONNECTIONS = 2
 
@@ -80,22 +69,14 @@
         self, *, settings: SidecarSettings, messages: Messages, now: float
     ) -> None:
         self._messages = messages
-        self._slots = 0
-        self._admission = UrgencyAdmission(algorithm=make_target_limit(1))
-        self._waiters = SlotWaiters(admission=self._admission)
+        self._queue = TargetQueue(now=now)
         self._root_limiter = RootRequestLimiter(capacity=1)
-        self._idle_since = now
         self._client = HttpClient(address=settings.upstream, limit=DEFAULT_CONNECTIONS)
         self.registration = UpstreamRegistration(address=settings.upstream)
         self.in_progress = 0
         self._run_count = 0
-        self._load_fault_logged_at = -LOAD_LOG_S
-        # The start of the upstream that `_admission.rate_limit` is about.
-        self._limited_start = ""
-        self._rate_timer: asyncio.TimerHandle | None = None
-        # Time of the last log line about the rate, and the requests sent until then.
-        self._rate_logged_at = now
-        self._rate_logged_count = 0
+        # The start of the upstream whose statements `_queue` holds.
+        self._current_start = ""
         self.get_rank: Callable[[int], float] = lambda importance: 0.0
         self.count_calls: Callable[[], int] = lambda: 0
         self.on_change: Callable[[], None] | None = None
@@ -125,7 +106,7 @@
         """Remove the registration of an upstream that has ended."""
         if self.registration.deregister(identity=identity, now=now):
             log.info("upstream %s deregistered", identity)
-            self._apply_change(self._slots, now)
+            self._apply_change(self._queue.slots, now)
 
     def set_announcement_floor(
         self, serial: int, *, left_start: str, now: float
@@ -136,7 +117,7 @@
         """
         if self.registration.set_floor(serial, left_start=left_start):
             log.info("upstream removed: its end was published before the restart")
-            self._apply_change(self._slots, now)
+            self._apply_change(self._queue.slots, now)
 
     def set_connection_limit(self, limit: int) -> None:
         """Set how many connections the upstream accepts."""
@@ -145,7 +126,7 @@
     @property
     def rate_limit(self) -> float | None:
         """Return the requests a second that the upstream takes, None if no limit."""
-        return self._admission.rate_limit.stated
+        return self._queue.rate_limit
 
     @property
     def sent_requests(self) -> int:
@@ -154,23 +135,11 @@
 
     def log_rate(self, *, now: float) -> None:
         """Log the rate of sent requests while the upstream states a limit."""
-        elapsed_s = now - self._rate_logged_at
-        if self.rate_limit is None or elapsed_s < RATE_LOG_S:
-            return
-        sent = self._run_count - self._rate_logged_count
-        log.info(
-            "rate of requests: limit=%.2f sent=%.2f over_s=%.2f waiting=%d",
-            self.rate_limit,
-            sent / elapsed_s,
-            elapsed_s,
-            self._admission.queued,
-        )
-        self._rate_logged_at = now
-        self._rate_logged_count = self._run_count
+        self._queue.log_rate(now=now)
 
     def report_load(self, *, now: float) -> Load:
         """Return the load to report with a response."""
-        return self._admission.report(now=now)
+        return self._queue.report_load(now=now)
 
     def get_degraded_importance(self, *, now: float) -> int | None:
         """Return the importance of the most important route that is degraded here."""
@@ -187,8 +156,7 @@
     def close(self) -> None:
         """Close the idle connections."""
         self._client.close()
-        if self._rate_timer is not None:
-            self._rate_timer.cancel()
+        self._queue.close()
 
     async def run(self, request: ForwardRequest) -> Attempt:
         """Run one request and return its attempt, with the complete response if any."""
@@ -219,7 +187,7 @@
 
     def get_idle_s(self, *, now: float) -> float:
         """Return for how long the upstream has run no request."""
-        return 0.0 if self._admission.running else now - self._idle_since
+        return self._queue.get_idle_s(now=now)
 
     async def _run_admitted(self, request: ForwardRequest) -> Attempt:
         """Wait for a slot, then send the request to the upstream."""
@@ -228,7 +196,7 @@
         # Whether the upstream itself shed the request.
         is_overload = False
         try:
-            error = await self._acquire_slot(slot)
+            error = await self._queue.acquire(slot)
             if error is not None:
                 return Attempt(outcome=AttemptOutcome.NOT_RUN, error=error)
             attempt = await self._send(request)
@@ -237,7 +205,8 @@
             is_overload = attempt.outcome is AttemptOutcome.NOT_RUN and attempt.arrived
             return attempt
         finally:
-            self._release_slot(slot, is_overload=is_overload)
+            now = asyncio.get_running_loop().time()
+            self._queue.release(slot, is_overload=is_overload, now=now)
             self.in_progress -= 1
 
     def _update_root_limit(
@@ -265,15 +234,12 @@
 
     def _apply_change(self, slots: int, now: float) -> None:
         current = self.registration.current
-        if current is not None and current.start != self._limited_start:
-            self._limited_start = current.start
-            self._admission.rate_limit.reset()
-            self._waiters.start_waiting(now=now)
-        if slots != self._slots and slots > 0:
-            self._admission.set_limit_algorithm(make_target_limit(slots))
+        if current is not None and current.start != self._current_start:
+            self._current_start = current.start
+            self._queue.reset(now=now)
+        if slots != self._queue.slots and slots > 0:
             self._root_limiter.set_capacity(slots)
-            self._slots = slots
-            self._waiters.start_waiting(now=now)
+            self._queue.set_slots(slots, now=now)
         if self.on_change is not None:
             self.on_change()
 
@@ -290,23 +256,6 @@
             )
         return attempt
 
-    async def _acquire_slot(self, slot: Slot) -> CallError | None:
-        """Wait for a slot; return an error if the request is refused or displaced."""
-        loop = asyncio.get_running_loop()
-        decision = self._waiters.offer(slot, now=loop.time())
-        if decision.verdict is Verdict.WAIT:
-            self._set_rate_timer(loop.time())
-            return await self._waiters.wait(slot)
-        return decision.error
-
-    def _release_slot(self, slot: Slot, *, is_overload: bool) -> None:
-        if not slot.is_held:
-            return
-        now = asyncio.get_running_loop().time()
-        self._waiters.release(slot, is_overload=is_overload, now=now)
-        self._set_rate_timer(now)
-        self._idle_since = now
-
     async def _send(self, request: ForwardRequest) -> Attempt:
         """Send the request to the upstream on a connection of its pool."""
         loop = asyncio.get_running_loop()
@@ -360,7 +309,7 @@
             return Attempt.make_unknown(ErrorKind.UPSTREAM_BROKE, detail=str(error))
         run_ms = (loop.time() - started) * 1000
         answer = self._messages.read_answer(response, request.identity)
-        self._record_told_load(answer)
+        self._queue.record_load(answer, now=loop.time())
         self._record_stated(answer, current.start, now=loop.time())
         return self._interpret_response(connection, answer, response, run_ms)
 
@@ -417,15 +366,6 @@
             run_ms=run_ms,
         )
 
-    def _record_told_load(self, answer: TargetAnswer) -> None:
-        """Use the load that the upstream tells; leave it as it was if not valid."""
-        now = asyncio.get_running_loop().time()
-        if answer.load is not None:
-            self._admission.slowdown.record(answer.load.slowdown, now=now)
-        elif answer.load_fault and now >= self._load_fault_logged_at + LOAD_LOG_S:
-            self._load_fault_logged_at = now
-            log.warning("load told by the upstream ignored: %s", answer.load_fault)
-
     def _record_stated(self, answer: TargetAnswer, start: str, *, now: float) -> None:
         """Apply what an upstream states about its limit and its end.
 
@@ -434,59 +374,16 @@
         current = self.registration.current
         if answer.is_misdirected or current is None or current.start != start:
             return
-        limit = self._admission.rate_limit
-        previous = limit.stated
-        if answer.rate_limit_fault:
-            log.warning("stated rate limit ignored: %s", answer.rate_limit_fault)
-        # Only a proven answer can end a limit by not stating it.
-        elif (answer.rate_limit is not None or answer.is_genuine) and limit.record(
-            answer.rate_limit, now=now
-        ):
-            self._apply_rate_limit(previous, source="upstream", now=now)
+        self._queue.record_rate(answer, now=now)
         if answer.is_leaving and self.registration.set_leaving():
             log.info("upstream %s states that it leaves", current.identity)
-            self._apply_change(self._slots, now)
+            self._apply_change(self._queue.slots, now)
 
     def _adopt_stated(self, stated: StatedCondition) -> None:
         """Keep a limit of which another node has heard and this one has not yet."""
         current = self.registration.current
         if current is None or current.start != stated.upstream:
             return
-        now = asyncio.get_running_loop().time()
-        limit = self._admission.rate_limit
-        previous = limit.stated
-        if stated.rate_limit is not None and limit.adopt(stated.rate_limit, now=now):
-            self._apply_rate_limit(previous, source="node", now=now)
-
-    def _apply_rate_limit(
-        self, previous: float | None, *, source: str, now: float
-    ) -> None:
-        log.info(
-            "stated rate limit: %s before=%s source=%s sent=%d",
-            self.rate_limit,
-            previous,
-            source,
-            self._run_count,
-        )
-        self._rate_logged_at = now
-        self._rate_logged_count = self._run_count
-        self._waiters.refuse(self._admission.refuse_late(now=now))
-        self._waiters.start_waiting(now=now)
-        if self._rate_timer is not None:
-            self._rate_timer.cancel()
-            self._rate_timer = None
-        self._set_rate_timer(now)
-
-    def _set_rate_timer(self, now: float) -> None:
-        """Start waiting requests again once the rate limit allows the next one."""
-        delay_s = self._admission.get_send_delay_s(now=now)
-        if self._rate_timer is not None or delay_s is None:
-            return
-        loop = asyncio.get_running_loop()
-        self._rate_timer = loop.call_at(now + delay_s, self._start_waiting)
-
-    def _start_waiting(self) -> None:
-        self._rate_timer = None
-        now = asyncio.get_running_loop().time()
-        self._waiters.start_waiting(now=now)
-        self._set_rate_timer(now)
+        if stated.rate_limit is not None:
+            now = asyncio.get_running_loop().time()
+            self._queue.adopt_rate(stated.rate_limit, now=now)
