--- a/src/pimentoscale/admission/urgency.py
+++ b/src/pimentoscale/admission/urgency.py
@@ -2,9 +2,9 @@
 
 Designed for a service with few slots that is called several times for each request of
 a caller. Refusing one call wastes all work that its tree has done so far. So calls that
-targets make are refused only when they cannot end by their deadline. Requests start in
-the order of their due times; among those to be displaced the least important goes
-first.
+targets make are refused only when they cannot end by their deadline, or not start by
+their due time since the upstream states a rate limit. Requests start in the order of
+their due times; among those to be displaced the least important goes first.
 """
 
 from sortedcontainers import SortedDict, SortedKeyList
