Log why a stream ends and how many requests it carried

The logs of the incident can't tell a stream that this node closes, as after a change of members, from one that the other node ends: both are "lost". Each end with requests in progress now has one line with the reason and the count, at the node that sent the requests and at the one that runs them. No decision changed.

--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -134,6 +134,12 @@
                 self._sessions.discard(session)
                 if self.on_follower_lost is not None:
                     self.on_follower_lost(connection)
+                if session.tasks:
+                    log.info(
+                        "stream from %s ended with %d requests in progress: cancelled",
+                        session.remote.instance,
+                        len(session.tasks),
+                    )
                 for task in list(session.tasks.values()):
                     task.cancel()
 
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -151,7 +151,12 @@
         """Close the connection and stop reconnecting."""
         if self._task is not None:
             self._task.cancel()
-        self._drop_connection()
+        self._drop_connection("closed by this node")
+
+    @property
+    def in_progress(self) -> int:
+        """Return how many calls and queries wait for their answers."""
+        return len(self._calls) + len(self._queries)
 
     async def call(self, frame: Call, remainder: Body) -> tuple[Reply, Body]:
         """Send a call and return its answer.
@@ -249,12 +254,14 @@
     async def _keep_connected(self) -> None:
         delay = RECONNECT_MIN_S
         while True:
+            reason = "closed by the other side"
             try:
                 await self._run_connection()
                 delay = RECONNECT_MIN_S
             except (OSError, FrameError, TimeoutError) as error:
                 log.debug("connection to %s failed: %s", self.address, error)
-            self._drop_connection()
+                reason = str(error) or type(error).__name__
+            self._drop_connection(reason)
             await asyncio.sleep(delay)
             delay = min(RECONNECT_MAX_S, 2 * delay)
 
@@ -382,9 +389,16 @@
         else:
             answer.set_result(frame)
 
-    def _drop_connection(self) -> None:
+    def _drop_connection(self, reason: str) -> None:
         if self._connection is None:
             return
+        if self.in_progress:
+            log.info(
+                "stream to %s ended with %d requests in progress: %s",
+                self.address,
+                self.in_progress,
+                reason,
+            )
         self._connection.close()
         self._connection = None
         was_silent, self._is_silent = self._is_silent, False
