Keep a stream until its requests are answered, whatever happens to its member

Cause: a change of members ended work. A target that ends without draining is published as gone at once, while it still runs what it has; each node that read this stopped its stream to the node beside it, failed the requests on it as lost, and the other side cancelled their runs. The same happened to a member that moved, and to a stream between zones that was idle by its last use though a request waited on it.

Change: a peer is retired in place of stopped: it takes no new calls and queries and closes after the last answer. Members decide where new requests go; requests in progress end by their answer, their sender, their deadline or the loss of the node.

--- a/src/pimentoscale/forwarding/links.py
+++ b/src/pimentoscale/forwarding/links.py
@@ -38,6 +38,8 @@
     def __init__(self, *, state: SidecarState) -> None:
         self._state = state
         self._peers: dict[str, Peer] = {}
+        # Streams to members that have left, which still wait for answers.
+        self._retired: set[Peer] = set()
         self._up: dict[str, asyncio.Event] = {}
         self._used_at: dict[str, float] = {}
         self.on_version: Callable[[Hello, int], None] | None = None
@@ -68,11 +70,18 @@
             self._open(member, now)
 
     def remove_member(self, name: str) -> None:
-        """Close the stream to a member, if there is one."""
+        """Close the stream to a member, if there is one, once it is not in use.
+
+        A member leaves while its target may still run requests.
+        """
         peer = self._peers.pop(name, None)
         self._up.pop(name, None)
-        if peer is not None:
-            peer.stop()
+        if peer is None:
+            return
+        if peer.in_progress:
+            self._retired.add(peer)
+            log.info("stream to %s kept for %d requests", name, peer.in_progress)
+        peer.retire()
 
     async def get(self, member: Member, *, now: float) -> Peer:
         """Return the stream to a member once it is up.
@@ -100,13 +109,16 @@
             is_own_zone = (
                 member is not None and member.zone == self._state.settings.zone
             )
-            if not is_own_zone and now - self._used_at[name] > IDLE_TIMEOUT_S:
+            is_idle = now - self._used_at[name] > IDLE_TIMEOUT_S
+            if not is_own_zone and is_idle and not self._peers[name].in_progress:
                 self.remove_member(name)
 
     def close(self) -> None:
         """Close all streams."""
-        for name in list(self._peers):
-            self.remove_member(name)
+        for peer in [*self._peers.values(), *self._retired]:
+            peer.stop()
+        self._peers.clear()
+        self._up.clear()
 
     def count_up(self) -> int:
         """Return how many streams are up."""
@@ -123,6 +135,7 @@
 
     def on_down(self, *, peer: Peer) -> None:
         """Mark a stream as down."""
+        self._retired.discard(peer)
         name = self._find_name(peer)
         log.info("stream to %s is lost", name or peer.address)
         if name is not None:
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -102,6 +102,7 @@
 class Peer:
     """One connection to another node, kept open by a task that reconnects.
 
+    A retired peer takes no more calls and queries, and closes after the last answer.
     Without a frame for `HEARTBEAT_TIMEOUT_S` the peer is down. Its connection is closed
     then, unless queries wait on it that were sent with `waits_in_silence`: those are
     answered if the other side comes back.
@@ -127,6 +128,7 @@
         # Numbers of the queries that wait for their answer through a silence.
         self._patient: set[int] = set()
         self._is_silent = False
+        self._is_retired = False
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -136,6 +138,7 @@
             self._connection is not None
             and self._connection.is_open
             and not self._is_silent
+            and not self._is_retired
         )
 
     @property
@@ -153,6 +156,11 @@
             self._task.cancel()
         self._drop_connection("closed by this node")
 
+    def retire(self) -> None:
+        """Close the connection once no call or query is in progress, perhaps now."""
+        self._is_retired = True
+        self._close_if_unused()
+
     @property
     def in_progress(self) -> int:
         """Return how many calls and queries wait for their answers."""
@@ -182,6 +190,7 @@
             self._calls.pop(number, None)
             if connection.is_open:
                 connection.send(Cancel(call=number))
+            self._close_if_unused()
             raise
 
     async def query(
@@ -214,6 +223,7 @@
             timer.cancel()
             self._queries.pop(frame.query, None)
             self._patient.discard(frame.query)
+            self._close_if_unused()
 
     def _cancel_query(self, connection: Connection, number: int) -> None:
         """Cancel a query on the other side, since its answer is no longer awaited."""
@@ -262,6 +272,8 @@
                 log.debug("connection to %s failed: %s", self.address, error)
                 reason = str(error) or type(error).__name__
             self._drop_connection(reason)
+            if self._is_retired:
+                return
             await asyncio.sleep(delay)
             delay = min(RECONNECT_MAX_S, 2 * delay)
 
@@ -369,6 +381,7 @@
             body = Body()
             body.fail("the digest differs")
         pending.reply.set_result((frame, body))
+        self._close_if_unused()
 
     def _handle_chunk(self, frame: Chunk) -> None:
         pending = self._calls.get(frame.call)
@@ -376,6 +389,7 @@
             self.dropped_frames += 1
         elif pending.receiver.add_chunk(frame):
             del self._calls[frame.call]
+            self._close_if_unused()
 
     def _handle_credit(self, frame: Credit) -> None:
         pending = self._calls.get(frame.call)
@@ -389,6 +403,10 @@
         else:
             answer.set_result(frame)
 
+    def _close_if_unused(self) -> None:
+        if self._is_retired and not self.in_progress:
+            self.stop()
+
     def _drop_connection(self, reason: str) -> None:
         if self._connection is None:
             return
