Take, answer and end by one rule while a node stops

What callers saw: with a short grace period, 504 for requests at which their target was at work, before the last sixth of the grace; answers cut at the end of a node for callers that read slowly; 502 from a node whose request waited at another one that stopped sooner than the target that it had handed the request to.

Cause: the margins of a stop were fixed times, the node beside a target put no limit of its own on what it took while it stopped, and a node counted a request as answered once the answer was in its own buffer.

Change: pimentoscale.shutdown holds the rule for the node that took a request and for the one beside its target: what it takes must be expected to end before the answers are due; a target gets no more time than that; what was taken is broken off only then; the node ends once it owes no answer, those in its buffers included. Shortly before its end it refuses all that comes.

--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -28,7 +28,6 @@
 from pimentoscale.forwarding.retries import RetryBudget, get_slack_share
 from pimentoscale.forwarding.state import SidecarState
 from pimentoscale.forwarding.target import LocalTarget
-from pimentoscale.forwarding.time_limits import TimeLimits
 from pimentoscale.forwarding.views import NodeViews
 from pimentoscale.http import HttpRequest, HttpResponse, drop_connection_headers
 from pimentoscale.logs import get_logger
@@ -48,9 +47,6 @@
 # The target's node ends a request at its deadline. The entry node waits this much
 # longer for that result before it ends the request itself.
 ANSWER_GRACE_S = 0.15
-# While the node stops, a request that has just come must be expected to end within the
-# time left divided by this.
-STOP_TIME_FACTOR = 2.0
 # Time left that is assumed if the sender states none.
 DEFAULT_REMAINING_S = 60.0
 # Rough size of the head of a request or a response.
@@ -87,7 +83,6 @@
         self._importance_range = (0, 0)
         # Version of the routes and number of caller routes at the last update.
         self._importance_range_key = (0, 0)
-        self.time_limits = TimeLimits()
         self.in_progress = 0
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -121,12 +116,12 @@
             now=now,
         )
         forward = self._make_forward(request, metadata, route, now)
-        if self._state.refuses_callers and not self._can_end(forward, now=now):
+        if not self._may_take(forward, now=now):
             error = CallError(kind=ErrorKind.DRAINING, detail="the node stops")
             return self._responses.build_error(error, forward.identity, forward.route)
         history = AttemptHistory()
         try:
-            async with self.time_limits.limit():
+            async with self._state.time_limits.limit():
                 await self._run(forward, route, history)
         except TimeoutError:
             history.last = Attempt.make_unknown(
@@ -142,15 +137,19 @@
             now=asyncio.get_running_loop().time(),
         )
 
-    def _can_end(self, forward: ForwardRequest, *, now: float) -> bool:
-        """Return whether a request that comes late in a stop may end before the node.
+    def _may_take(self, forward: ForwardRequest, *, now: float) -> bool:
+        """Return whether to take a request, which may come late in a stop.
 
-        Calls of the local target may, since it still runs requests that need them;
-        requests of callers should go to another node.
+        Calls of the local target are taken longer than requests of callers, since it
+        still runs requests that need them; callers should go to another node.
         """
+        shutdown = self._state.shutdown
+        if not shutdown.has_begun:
+            return True
+        if self._state.refuses_callers and not forward.is_inner:
+            return False
         run_ms = self._placement.averages.get_run_ms(route=forward.route)
-        expected_s = STOP_TIME_FACTOR * run_ms / 1000
-        return forward.is_inner and now + expected_s < forward.deadline
+        return shutdown.may_take(expected_s=run_ms / 1000, now=now)
 
     def _make_forward(
         self, request: HttpRequest, metadata: RequestMetadata, route: Route, now: float
@@ -179,9 +178,8 @@
             importance=route.importance,
             is_inner=self.origins.is_inner(route.name),
             was_refused=self.origins.was_refused(route.name, remaining_s=remaining_s),
-            deadline=min(
-                now + min(remaining_s, route.timeout_s),
-                self.time_limits.stop_at - ANSWER_GRACE_S,
+            deadline=self._state.shutdown.limit_deadline(
+                now + min(remaining_s, route.timeout_s)
             ),
             objective_s=min(route.objective_s, route.timeout_s),
             suspended_s=read_suspended_s(),
--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from pimentoscale.errors import ErrorKind
-from pimentoscale.forwarding.exchange import Attempt
+from pimentoscale.forwarding.exchange import Attempt, ForwardRequest
 from pimentoscale.forwarding.frames import make_forward_reply, read_forward
 from pimentoscale.forwarding.links import Links
 from pimentoscale.forwarding.state import SidecarState
@@ -49,7 +49,8 @@
     """Accepts streams and runs their requests at the local target.
 
     When a stream is lost its requests are cancelled: no sender waits for them any more.
-    While `is_refusing` is set, all requests are refused, since the node is stopping.
+    While `is_refusing` is set, all requests are refused, since the node is stopping;
+    those already taken are answered.
     """
 
     def __init__(
@@ -71,6 +72,14 @@
         """Return the requests of other nodes that are in progress."""
         return sum(len(session.tasks) for session in self._sessions)
 
+    def count_unsent(self, *, now: float) -> int:
+        """Return how many streams have answers to send to a node that is in touch."""
+        return sum(
+            session.connection.has_unsent_bytes
+            and now - session.connection.last_received_at < HEARTBEAT_TIMEOUT_S
+            for session in self._sessions
+        )
+
     async def start(self) -> None:
         """Listen for streams."""
         address = self._state.settings.stream
@@ -174,11 +183,27 @@
     async def _run_request(self, session: _Session, frame: Forward) -> None:
         try:
             now = asyncio.get_running_loop().time()
-            if self.is_refusing:
+            shutdown = self._state.shutdown
+            may_take = not shutdown.has_begun or shutdown.may_take(
+                expected_s=0.0, now=now
+            )
+            if self.is_refusing or not may_take:
                 attempt = Attempt.make_not_run(ErrorKind.DRAINING, detail="node stops")
             else:
-                attempt = await self._target.run(read_forward(frame, now=now))
+                request = read_forward(frame, now=now)
+                request.deadline = shutdown.limit_deadline(request.deadline)
+                attempt = await self._run_taken(request)
             if session.connection.is_open:
                 session.connection.send(make_forward_reply(frame.query, attempt))
         finally:
             session.tasks.pop(frame.query, None)
+
+    async def _run_taken(self, request: ForwardRequest) -> Attempt:
+        """Run a request that was taken, until its end or that of the node."""
+        try:
+            async with self._state.time_limits.limit():
+                return await self._target.run(request)
+        except TimeoutError:
+            return Attempt.make_unknown(
+                ErrorKind.DEADLINE_WHILE_RUNNING, detail="the target's node stops"
+            )
--- a/src/pimentoscale/forwarding/state.py
+++ b/src/pimentoscale/forwarding/state.py
@@ -6,6 +6,7 @@
 from pimentoscale.membership import Member
 from pimentoscale.metrics import Metrics
 from pimentoscale.routes import RouteTable
+from pimentoscale.shutdown import Shutdown, TimeLimits
 from pimentoscale.stream import Hello
 from pimentoscale.stream.frames import PROTOCOL_VERSION
 
@@ -32,6 +33,8 @@
     is_stopping: bool = False
     is_draining: bool = False
     refuses_callers: bool = False
+    shutdown: Shutdown = field(default_factory=Shutdown)
+    time_limits: TimeLimits = field(default_factory=TimeLimits)
 
     @property
     def version(self) -> int:
--- a/src/pimentoscale/forwarding/stopping.py
+++ b/src/pimentoscale/forwarding/stopping.py
@@ -1,4 +1,4 @@
-"""Stops a sidecar in steps, so that no request is cut off."""
+"""Takes the steps of a sidecar's stop by the rule of `pimentoscale.shutdown`."""
 
 import asyncio
 from collections.abc import Callable
@@ -23,21 +23,19 @@
 # The platform has moved callers away, which takes two failed readiness checks, one
 # second apart. The node may end once it is idle.
 CALLERS_MOVED_S = 2.6
-# Requests of callers that were not moved away are refused: they might not end within
-# the grace period.
+# Requests of callers that were not moved away are refused.
 REFUSE_CALLERS_S = 3.0
 
-# Part of the grace period that is left for closing.
-STOP_MARGIN_S = 0.45
-# Part of it in which requests still in progress get their last answer.
-LAST_ANSWERS_S = 0.1
+# With a grace period shorter than this, other nodes are notified and refused sooner in
+# proportion.
+FULL_GRACE_S = 6.0
 STOP_POLL_S = 0.05
 
 log = get_logger("sidecar")
 
 
 class GracefulStop:
-    """Takes the steps of a stop, then waits until no request is in progress.
+    """Takes the steps of a stop, then waits until the node owes no answer.
 
     `server` serves callers and the local target. `on_draining` is called when the other
     nodes are notified, and `on_stopped` at the end, within the grace period.
@@ -75,41 +73,49 @@
     async def run(self) -> None:
         """Take each step at its time; return once the node may end."""
         loop = asyncio.get_running_loop()
-        started = loop.time()
+        shutdown = self._state.shutdown
+        shutdown.begin(grace_s=self._state.settings.stop_grace_s, now=loop.time())
         while True:
+            now = loop.time()
             # The settings may change meanwhile.
-            grace_s = self._state.settings.stop_grace_s - STOP_MARGIN_S
-            self._forwarder.time_limits.set_stop(started + grace_s - LAST_ANSWERS_S)
-            elapsed_s = loop.time() - started
-            self._take_steps(elapsed_s)
-            busy = self._count_in_progress()
-            if elapsed_s >= CALLERS_MOVED_S and busy == 0:
-                break
-            if elapsed_s >= grace_s:
-                log.warning(
-                    "grace period over: stopping with %d requests in progress", busy
-                )
-                break
+            shutdown.set_grace(self._state.settings.stop_grace_s)
+            self._state.time_limits.set_stop(shutdown.answers_due_at)
+            self._take_steps(shutdown.get_elapsed_s(now=now))
+            owed = self._count_owed(now)
+            if shutdown.may_end(owed=owed, now=now, earliest_s=CALLERS_MOVED_S):
+                if shutdown.is_closed or owed:
+                    break
+                # A request that has just been read is still answered.
+                shutdown.is_closed = True
             await asyncio.sleep(STOP_POLL_S)
+        if owed:
+            log.warning("grace period over: stopping with %d answers owed", owed)
         self._server.close_idle()
-        log.info("stopped after %.2f s", loop.time() - started)
+        log.info("stopped after %.2f s", shutdown.get_elapsed_s(now=loop.time()))
         self._on_stopped()
 
     def _take_steps(self, elapsed_s: float) -> None:
-        if elapsed_s >= NOTIFY_NODES_S and not self._state.is_draining:
+        scale = min(1.0, self._state.settings.stop_grace_s / FULL_GRACE_S)
+        if elapsed_s >= scale * NOTIFY_NODES_S and not self._state.is_draining:
             self._state.is_draining = True
             self._receiver.send_draining()
             self._on_draining()
-        if elapsed_s >= REFUSE_NODES_S:
+        if elapsed_s >= scale * REFUSE_NODES_S:
             self._receiver.is_refusing = True
         if elapsed_s >= REFUSE_CALLERS_S:
             self._state.refuses_callers = True
         if elapsed_s >= CLOSE_CONNECTIONS_S:
             self._server.close_after_response()
 
-    def _count_in_progress(self) -> int:
+    def _count_owed(self, now: float) -> int:
+        """Return how many answers this node owes, to whomever it took requests from.
+
+        A request counts once for each part of this node that handles it.
+        """
         return (
             self._forwarder.in_progress
             + self._target.in_progress
             + self._server.busy_connections
+            + self._receiver.in_progress
+            + self._receiver.count_unsent(now=now)
         )
--- a/src/pimentoscale/http/server.py
+++ b/src/pimentoscale/http/server.py
@@ -63,8 +63,11 @@
 
     @property
     def is_busy(self) -> bool:
-        """Return whether a request is in progress or has begun to arrive."""
-        return self._task is not None or self._is_receiving
+        """Return whether a request is arriving, in progress, or not answered whole."""
+        if self._task is not None or self._is_receiving:
+            return True
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
 
     @property
     def has_incomplete_request(self) -> bool:
@@ -223,7 +226,7 @@
 
     @property
     def busy_connections(self) -> int:
-        """Return the number of connections on which a request is in progress."""
+        """Return the number of connections that are in use, see `is_busy`."""
         return sum(connection.is_busy for connection in self.connections)
 
     @property
