--- a/src/pimentoscale/shutdown/rule.py
+++ b/src/pimentoscale/shutdown/rule.py
@@ -5,8 +5,8 @@
 
 - A request is taken only if it is expected to end before the answers are due, and its
   target gets no more time than that, so that the target itself answers.
-- A request that was taken is broken off by its sender, by its own deadline, or once the
-  answers are due. Nothing else ends it: neither a change of members nor a silence.
+- A request that was taken ends by its answer, its sender, its deadline or the loss of
+  the other node, or once the answers are due. A change of members does not end it.
 - The node ends once it owes no answer, or at the end of its grace period.
 """
 
@@ -87,4 +87,4 @@
         """
         if now >= self.ends_at:
             return True
-        return owed == 0 and self.get_elapsed_s(now=now) >= earliest_s
+        return owed == 0 and now >= self._started + earliest_s
