Wait for a target that reads a long body slowly, and don't reuse its connection

What callers saw: 502 for an upload, or a second run of it, when its target paused for 2.5 s while it read the body, though time was left; and 502 for an unsafe request that was queued behind a body that its target had answered early and not read.

Cause: TCP_USER_TIMEOUT also ends a connection whose other side is alive and has no room for more bytes. And a connection counted as usable with its last request unsent.

Change: the time-out of TCP holds for requests of up to 16 KiB, which find room in any buffer, so silent connections are found as before; longer ones are limited by their own time. A connection whose last request is not taken whole is not used again.

--- a/src/pimentoscale/http/client.py
+++ b/src/pimentoscale/http/client.py
@@ -1,7 +1,10 @@
 """An HTTP/1.1 client that accepts a response only if it is complete and matches."""
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -9,6 +12,7 @@
 import httptools
 
 from pimentoscale.http.message import Header, HttpRequest, HttpResponse
+from pimentoscale.logs import get_logger
 from pimentoscale.settings import Address
 
 # Connecting on one machine or within one region takes milliseconds.
@@ -18,8 +22,11 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_PERIOD_S = 1
 KEEPALIVE_PROBES = 2
-# TCP closes a connection if sent bytes stay unacknowledged for this long.
+# TCP closes a connection if sent bytes stay unacknowledged for this long. A request of
+# more bytes than fit in the buffers of a server that does not read may stay so for
+# longer; its exchange is limited by its own time.
 UNACKNOWLEDGED_TIMEOUT_MS = 2500
+SMALL_REQUEST_BYTES = 16 * 1024
 # A connection is not reused this shortly before the server's idle time-out, so that a
 # request does not race with the server's close.
 IDLE_MARGIN_S = 1.0
@@ -35,6 +42,8 @@
 # With the buffers of a client full, exchanges that received less than this go on.
 SMALL_RESPONSE_BYTES = 1024 * 1024
 
+log = get_logger("http")
+
 ResponseFilter = Callable[[HttpResponse], bool]
 
 
@@ -86,13 +95,28 @@
         self._ends_with_connection = False
         self._is_done = False
         self._is_closed = False
+        self._sent_small_request = True
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.idle_since = 0.0
 
     def is_usable(self, *, now: float) -> bool:
         """Return whether another request may be sent on this connection."""
         idle_s = now - self.idle_since
-        return not self._is_closed and idle_s < self.idle_timeout_s - IDLE_MARGIN_S
+        is_fresh = idle_s < self.idle_timeout_s - IDLE_MARGIN_S
+        return not self._is_closed and is_fresh and not self._has_unsent_bytes()
+
+    def _has_unsent_bytes(self) -> bool:
+        """Return whether the server has not taken the whole last request yet.
+
+        It may answer before it has read a long body; what is sent next would wait.
+        """
+        transport = self._transport
+        if transport is None:
+            return False
+        if transport.get_write_buffer_size() > 0:
+            return True
+        sock = transport.get_extra_info("socket")
+        return not self._sent_small_request and _count_unacknowledged(sock) > 0
 
     async def exchange(
         self,
@@ -119,7 +143,9 @@
         self._is_in_head = True
         self._head_received = 0
         self._parser = httptools.HttpResponseParser(self)
-        self._transport.write(request.encode())
+        data = request.encode()
+        self._limit_unacknowledged(len(data))
+        self._transport.write(data)
         timer = None
         if expires_at is not None:
             timer = loop.call_at(expires_at, self._time_out)
@@ -134,6 +160,16 @@
             self._buffered.total -= self._received
             self._received = 0
 
+    def _limit_unacknowledged(self, size: int) -> None:
+        """Let TCP close the connection early only if a small request is not taken."""
+        is_small = size <= SMALL_REQUEST_BYTES
+        if is_small == self._sent_small_request or self._transport is None:
+            return
+        self._sent_small_request = is_small
+        sock = self._transport.get_extra_info("socket")
+        timeout_ms = UNACKNOWLEDGED_TIMEOUT_MS if is_small else 0
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
     def close(self) -> None:
         """Close at once; an exchange in progress fails."""
         self._is_closed = True
@@ -281,6 +317,20 @@
     )
 
 
+def _count_unacknowledged(sock: socket.socket) -> int:
+    """Return how many sent bytes the other side has not acknowledged.
+
+    Return 0 where the system can't tell.
+    """
+    try:
+        data = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    except OSError as error:
+        log.debug("unacknowledged bytes are not known: %s", error)
+        return 0
+    count: int = struct.unpack("i", data)[0]
+    return count
+
+
 @dataclass(slots=True, kw_only=True)
 class ClientCounts:
     """Number of connections that a client has opened, and of reuses."""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -492,3 +492,68 @@
         return connection.is_usable(now=now + 1), connection.is_usable(now=now + 2.5)
 
     assert asyncio.run(run()) == (True, False)
+
+
+# Longer than the time for which small requests may stay unacknowledged.
+PAUSE_S = 3.2
+
+
+def make_upload(size: int) -> HttpRequest:
+    return HttpRequest(
+        method=b"POST", path=b"/", headers=[(b"host", b"h")], body=b"x" * size
+    )
+
+
+def test_server_that_pauses_while_it_reads_a_long_body_is_waited_for() -> None:
+    size = 8_000_000
+
+    async def read_late(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(PAUSE_S)
+        await read_head(reader)
+        await reader.readexactly(size)
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+
+    async def run() -> int:
+        loop = asyncio.get_running_loop()
+        server, client = await start_raw(read_late)
+        connection = await client.acquire(now=loop.time())
+        response = await connection.exchange(
+            make_upload(size), expires_at=loop.time() + PAUSE_S + TIMEOUT_S
+        )
+        connection.close()
+        server.close()
+        return response.status
+
+    assert asyncio.run(run()) == 200
+
+
+@pytest.mark.parametrize("size", [60_000, 8_000_000])
+def test_connection_whose_last_body_is_not_read_yet_is_not_used_again(
+    size: int,
+) -> None:
+    async def answer_early(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+        if size > 100_000:
+            await asyncio.sleep(PAUSE_S)
+
+    async def run() -> bool:
+        loop = asyncio.get_running_loop()
+        server, client = await start_raw(answer_early)
+        connection = await client.acquire(now=loop.time())
+        response = await connection.exchange(make_upload(size))
+        assert response.status == 200
+        client.release(connection, now=loop.time())
+        other = await client.acquire(now=loop.time())
+        is_same = other is connection
+        for item in (connection, other):
+            item.close()
+        server.close()
+        return is_same
+
+    # One that the server has taken whole is used again.
+    assert asyncio.run(run()) == (size < 100_000)
