Close what the review of the stop rule found

- Requests that wait at a target that leaves waited on until a slot became free.
They are refused at once, so another target takes them (test_waiting_request_goes_...).
- Requests that had never been handed over were answered 504 at the end of a stop.
They are refused, truly not run, before the answers are due, and nothing is handed over after that; the deadline is limited at the hand-over, so it also holds for those that waited when the stop began (test_request_that_still_waits_...).
- A waiting request could run at a target of another service that took the address (test_waiting_request_does_not_run_...).
- An answer that was under way to another node was lost when the node closed with a frame unread.
Streams are half-closed at the end; the other side closes them (test_answer_that_is_under_way_...).
- A safe request that a silence ended went on at its target if the stream was kept (test_safe_request_that_a_silence_ends_...).
- A changed grace period could end the stop with an error just as a time limit fired (test_time_limit_that_has_just_expired_...).

And of the new rule:

- Callers were refused from the SIGTERM on by twice their usual time.
Until they are moved away the usual time counts once; the node beside the target uses it as well (test_request_that_would_outlast_the_stop_...).
- A stream to a former address still spoke for the member (test_stream_to_a_former_...).

They run on the event loop of the programs.

--- a/src/pimentoscale/admission/urgency.py
+++ b/src/pimentoscale/admission/urgency.py
@@ -156,9 +156,7 @@
             entry = self._waiting[0]
             # Dropped if less than half of its estimated run time is left; the divisor
             # also converts milliseconds to seconds.
-            run_ms = self._run_times.get(
-                entry.kind, slowdown=self.slowdown.get(now=now)
-            )
+            run_ms = self.estimate_run_ms(entry.kind, now=now)
             if now + run_ms / 2000 > entry.deadline:
                 self._remove(entry)
                 error = CallError(kind=ErrorKind.DEADLINE_BEFORE_RUN)
@@ -171,6 +169,18 @@
                 break
         return dequeued
 
+    def estimate_run_ms(self, kind: str, *, now: float) -> float:
+        """Return how long a request of a kind is expected to run."""
+        return self._run_times.get(kind, slowdown=self.slowdown.get(now=now))
+
+    def refuse_waiting(self, error: CallError) -> Dequeued:
+        """Refuse all waiting requests with an error."""
+        dequeued = Dequeued()
+        for entry in list(self._waiting):
+            self._remove(entry)
+            dequeued.expired.append(Refusal(entry=entry, error=error))
+        return dequeued
+
     def refuse_late(self, *, now: float) -> Dequeued:
         """Refuse the waiting requests that a new rate limit holds up for too long.
 
@@ -220,9 +230,7 @@
             group = SortedKeyList(key=_get_due)
             self._by_importance[entry.importance] = group
         group.add(entry)
-        entry.expected_ms = self._run_times.get(
-            entry.kind, slowdown=self.slowdown.get(now=now)
-        )
+        entry.expected_ms = self.estimate_run_ms(entry.kind, now=now)
         self._backlog_ms += entry.expected_ms
 
     def _remove(self, entry: Entry) -> None:
--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -47,6 +47,9 @@
 # The target's node ends a request at its deadline. The entry node waits this much
 # longer for that result before it ends the request itself.
 ANSWER_GRACE_S = 0.15
+# Calls of the local target that come when callers are refused already must be expected
+# to end in this multiple of the average time of their route.
+LATE_RUN_TIME_FACTOR = 2.0
 # Time left that is assumed if the sender states none.
 DEFAULT_REMAINING_S = 60.0
 # Rough size of the head of a request or a response.
@@ -146,10 +149,12 @@
         shutdown = self._state.shutdown
         if not shutdown.has_begun:
             return True
-        if self._state.refuses_callers and not forward.is_inner:
-            return False
-        run_ms = self._placement.averages.get_run_ms(route=forward.route)
-        return shutdown.may_take(expected_s=run_ms / 1000, now=now)
+        expected_s = self._placement.averages.get_run_ms(route=forward.route) / 1000
+        if self._state.refuses_callers:
+            if not forward.is_inner:
+                return False
+            expected_s *= LATE_RUN_TIME_FACTOR
+        return shutdown.may_take(expected_s=expected_s, now=now)
 
     def _make_forward(
         self, request: HttpRequest, metadata: RequestMetadata, route: Route, now: float
--- a/src/pimentoscale/forwarding/links.py
+++ b/src/pimentoscale/forwarding/links.py
@@ -135,7 +135,8 @@
 
     def on_down(self, *, peer: Peer) -> None:
         """Mark a stream as down."""
-        self._retired.discard(peer)
+        if peer.remote is None:
+            self._retired.discard(peer)
         name = self._find_name(peer)
         log.info("stream to %s is lost", name or peer.address)
         if name is not None:
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -147,6 +147,7 @@
         self._outgoing.on_closed = self.forwarder.origins.remove_connection
         self.target.get_rank = self.forwarder.get_rank
         self.target.count_calls = self.forwarder.origins.count_inner
+        self.target.limit_deadline = self.state.shutdown.limit_deadline
         self.forwarder.origins.on_caller_route = self._share_caller_route
         self.registry.on_caller_route = self._add_caller_route
         self.links.on_routes = self.forwarder.origins.add_caller_routes
--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -72,14 +72,24 @@
         """Return the requests of other nodes that are in progress."""
         return sum(len(session.tasks) for session in self._sessions)
 
-    def count_unsent(self, *, now: float) -> int:
-        """Return how many streams have answers to send to a node that is in touch."""
+    @property
+    def open_streams(self) -> int:
+        """Return how many streams are open to nodes that are in touch."""
+        now = asyncio.get_running_loop().time()
         return sum(
-            session.connection.has_unsent_bytes
-            and now - session.connection.last_received_at < HEARTBEAT_TIMEOUT_S
+            now - session.connection.last_received_at < HEARTBEAT_TIMEOUT_S
             for session in self._sessions
         )
 
+    def finish_streams(self) -> None:
+        """Take no more streams and send nothing more on those that are open.
+
+        Each ends once its node has received all.
+        """
+        self._listener.close()
+        for session in self._sessions:
+            session.connection.finish()
+
     async def start(self) -> None:
         """Listen for streams."""
         address = self._state.settings.stream
@@ -183,21 +193,25 @@
     async def _run_request(self, session: _Session, frame: Forward) -> None:
         try:
             now = asyncio.get_running_loop().time()
-            shutdown = self._state.shutdown
-            may_take = not shutdown.has_begun or shutdown.may_take(
-                expected_s=0.0, now=now
-            )
-            if self.is_refusing or not may_take:
+            if not self._may_take(frame, now=now):
                 attempt = Attempt.make_not_run(ErrorKind.DRAINING, detail="node stops")
             else:
-                request = read_forward(frame, now=now)
-                request.deadline = shutdown.limit_deadline(request.deadline)
-                attempt = await self._run_taken(request)
+                attempt = await self._run_taken(read_forward(frame, now=now))
             if session.connection.is_open:
                 session.connection.send(make_forward_reply(frame.query, attempt))
         finally:
             session.tasks.pop(frame.query, None)
 
+    def _may_take(self, frame: Forward, *, now: float) -> bool:
+        """Return whether to take a request, which may come during a stop."""
+        shutdown = self._state.shutdown
+        if not shutdown.has_begun:
+            return True
+        expected_s = self._target.estimate_run_s(frame.route, now=now)
+        return not self.is_refusing and shutdown.may_take(
+            expected_s=expected_s, now=now
+        )
+
     async def _run_taken(self, request: ForwardRequest) -> Attempt:
         """Run a request that was taken, until its end or that of the node."""
         try:
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -61,8 +61,8 @@
 
     A request is sent at most once, and only while the upstream is registered by its own
     announcements and is not draining. `get_rank` scales the importance of a route to
-    the range from 0 to 1, and `count_calls` returns how many requests may have been
-    calls of the upstream.
+    the range from 0 to 1, `count_calls` returns how many requests may have been calls
+    of the upstream, and `limit_deadline` bounds the deadline of what is sent.
     """
 
     def __init__(
@@ -79,6 +79,7 @@
         self._current_start = ""
         self.get_rank: Callable[[int], float] = lambda importance: 0.0
         self.count_calls: Callable[[], int] = lambda: 0
+        self.limit_deadline: Callable[[float], float] = lambda deadline: deadline
         self.on_change: Callable[[], None] | None = None
 
     def apply_announcement(
@@ -185,6 +186,14 @@
         finally:
             self._root_limiter.end(request.route)
 
+    def estimate_run_s(self, route: str, *, now: float) -> float:
+        """Return how long a request of a route is expected to run here."""
+        return self._queue.estimate_run_s(route, now=now)
+
+    def refuse_waiting(self, *, detail: str) -> None:
+        """Refuse the requests that have not been sent yet."""
+        self._queue.refuse_waiting(CallError(kind=ErrorKind.DRAINING, detail=detail))
+
     def get_idle_s(self, *, now: float) -> float:
         """Return for how long the upstream has run no request."""
         return self._queue.get_idle_s(now=now)
@@ -237,6 +246,8 @@
         if current is not None and current.start != self._current_start:
             self._current_start = current.start
             self._queue.reset(now=now)
+        if current is None or current.is_draining:
+            self.refuse_waiting(detail="the upstream leaves")
         if slots != self._queue.slots and slots > 0:
             self._root_limiter.set_capacity(slots)
             self._queue.set_slots(slots, now=now)
@@ -279,10 +290,13 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         current = self.registration.current
-        # Checked again: the upstream may have begun to drain while this request waited.
+        # Checked again: the upstream may have changed while this request waited.
         if current is None or current.is_draining:
             return Attempt.make_not_run(ErrorKind.DRAINING)
-        remaining_ms = int((get_deadline(request) - started) * 1000)
+        if current.service != request.service:
+            return Attempt.make_not_run(ErrorKind.NO_TARGET)
+        deadline = self.limit_deadline(get_deadline(request))
+        remaining_ms = int((deadline - started) * 1000)
         if remaining_ms <= 0:
             return Attempt.make_not_run(ErrorKind.DEADLINE_BEFORE_RUN)
         message = self._make_message(request, current.identity, remaining_ms)
--- a/src/pimentoscale/forwarding/target_queue.py
+++ b/src/pimentoscale/forwarding/target_queue.py
@@ -92,6 +92,17 @@
         self._start_count += error is None
         return error
 
+    def estimate_run_s(self, route: str, *, now: float) -> float:
+        """Return how long a request of a route is expected to run."""
+        return self._admission.estimate_run_ms(route, now=now) / 1000
+
+    def refuse_waiting(self, error: CallError) -> None:
+        """Refuse all requests that wait, since the upstream gets no more."""
+        count = self._admission.queued
+        if count:
+            log.info("%d waiting requests refused: %s", count, error.kind.value)
+            self._waiters.refuse(self._admission.refuse_waiting(error))
+
     def release(self, slot: Slot, *, is_overload: bool, now: float) -> None:
         """Release a slot, if it is held, and start the requests that may follow."""
         if not slot.is_held:
--- a/src/pimentoscale/shutdown/rule.py
+++ b/src/pimentoscale/shutdown/rule.py
@@ -20,19 +20,19 @@
 SENDING_SHARE = 0.2
 # The answer of a target has to come this long before the answers are due.
 REPLY_S = 0.15
-# A request is expected to take up to this multiple of the average of its route.
-RUN_TIME_FACTOR = 2.0
 
 
 class Shutdown:
-    """The times of a node's stop, on the event loop's clock; none until it begins."""
+    """The times of a node's stop, on the event loop's clock; infinite until it begins.
+
+    While `is_closed` is set no request is taken, since the node ends next.
+    """
 
     __slots__ = ("_grace_s", "_started", "is_closed")
 
     def __init__(self) -> None:
         self._started = math.inf
         self._grace_s = 0.0
-        # Whether no more requests are taken, since the node ends next.
         self.is_closed = False
 
     @property
@@ -68,16 +68,20 @@
         return max(0.0, now - self._started)
 
     def may_take(self, *, expected_s: float, now: float) -> bool:
-        """Return whether a request that has just come is expected to end in time.
+        """Return whether a request that comes now and takes so long ends in time."""
+        return not self.is_closed and now + expected_s < self.targets_due_at
+
+    @property
+    def targets_due_at(self) -> float:
+        """Return by when targets have to answer, so that the answers are passed on.
 
-        `expected_s` is the average time that requests of its route take.
+        From then on nothing is handed over to a target.
         """
-        expected_end = now + RUN_TIME_FACTOR * expected_s
-        return not self.is_closed and expected_end < self.answers_due_at - REPLY_S
+        return self.answers_due_at - REPLY_S
 
     def limit_deadline(self, deadline: float) -> float:
-        """Return the deadline to pass on with a request that has just come."""
-        return min(deadline, self.answers_due_at - REPLY_S)
+        """Return the deadline to pass on with a request."""
+        return min(deadline, self.targets_due_at)
 
     def may_end(self, *, owed: int, now: float, earliest_s: float) -> bool:
         """Return whether the node may end.
--- a/src/pimentoscale/shutdown/time_limits.py
+++ b/src/pimentoscale/shutdown/time_limits.py
@@ -35,4 +35,6 @@
             return
         self.stop_at = stop_at
         for timeout in self._timeouts:
-            timeout.reschedule(stop_at)
+            # One that has just expired can't be changed.
+            if not timeout.expired():
+                timeout.reschedule(stop_at)
--- a/src/pimentoscale/stream/connection.py
+++ b/src/pimentoscale/stream/connection.py
@@ -25,6 +25,7 @@
     __slots__ = (
         "_closed",
         "_hello_waiter",
+        "_is_finished",
         "_on_connected",
         "_on_frame",
         "_pending",
@@ -45,26 +46,26 @@
         self._pending: deque[Frame] = deque()
         self._hello_waiter: asyncio.Future[None] | None = None
         self._closed: asyncio.Future[None] = loop.create_future()
+        self._is_finished = False
         self.remote: Hello | None = None
         self.last_received_at = loop.time()
 
     @property
     def is_open(self) -> bool:
         """Return whether frames can be sent."""
-        return self._transport is not None and not self._transport.is_closing()
-
-    @property
-    def has_unsent_bytes(self) -> bool:
-        """Return whether frames are buffered that the system has not taken yet."""
         transport = self._transport
-        return transport is not None and transport.get_write_buffer_size() > 0
+        return (
+            transport is not None
+            and not transport.is_closing()
+            and not self._is_finished
+        )
 
     def send(self, frame: Frame) -> None:
         """Write a frame without waiting; drop it if the connection is closed.
 
         Credit bounds the bytes of bodies that are in flight.
         """
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is not None and self.is_open:
             self._transport.write(encode_frame(frame))
 
     async def exchange_hello(self, *, hello: Hello) -> Hello:
@@ -103,6 +104,15 @@
         self._on_frame = on_frame
         await asyncio.shield(self._closed)
 
+    def finish(self) -> None:
+        """End the sending; the other side closes once it has received all frames.
+
+        A close with frames unread on this side would discard what is still under way.
+        """
+        if self._transport is not None and self.is_open:
+            self._is_finished = True
+            self._transport.write_eof()
+
     def abort(self) -> None:
         """Close the connection at once and discard buffered frames."""
         if self._transport is not None:
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -216,7 +216,8 @@
         except TimeoutError as error:
             self._cancel_query(connection, frame.query)
             raise PeerLostError(f"{self.address}: no answer in time") from error
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, PeerLostError):
+            # A stream that is only silent may be kept for other queries.
             self._cancel_query(connection, frame.query)
             raise
         finally:
@@ -351,6 +352,9 @@
                 self._observer.on_records(frame=frame)
             case Announcements():
                 self._observer.on_announcements(frame=frame, peer=self)
+            case Heartbeat() | Draining() if self._is_retired:
+                # The member may have another process or address by now.
+                pass
             case Heartbeat():
                 self._observer.on_heartbeat(remote=remote, frame=frame)
             case SlowCall():
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,12 +1,13 @@
 """The rule by which a stopping node takes requests, answers them and ends."""
 
+import asyncio
 import math
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pimentoscale.shutdown import Shutdown
+from pimentoscale.shutdown import Shutdown, TimeLimits
 from pimentoscale.shutdown.rule import REPLY_S
 
 STARTED = 100.0
@@ -78,3 +79,24 @@
     before = stopping.answers_due_at
     stopping.set_grace(9.0)
     assert stopping.answers_due_at == pytest.approx(before + 3.0, abs=0.1)
+
+
+def test_time_limit_that_has_just_expired_does_not_end_the_stop() -> None:
+    async def run() -> None:
+        limits = TimeLimits()
+        loop = asyncio.get_running_loop()
+
+        async def wait() -> None:
+            async with limits.limit():
+                await asyncio.sleep(60)
+
+        waiting = asyncio.create_task(wait())
+        await asyncio.sleep(0)
+        limits.set_stop(loop.time())
+        await asyncio.sleep(0)
+        # The time-out has fired, and the task has not handled it yet.
+        limits.set_stop(loop.time() + 1)
+        with pytest.raises(TimeoutError):
+            await waiting
+
+    asyncio.run(run())
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -1,22 +1,32 @@
 """What a node owes to the requests that it has accepted, until it ends."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 import pytest
+import uvloop
 
+from pimentoscale.forwarding.entries import make_target_limit
+from pimentoscale.forwarding.frames import make_forward
 from pimentoscale.forwarding.links import IDLE_TIMEOUT_S
+from pimentoscale.forwarding.stopping import NOTIFY_NODES_S, REFUSE_NODES_S
 from pimentoscale.http import HttpRequest, HttpResponse
 from pimentoscale.settings import Address
+from pimentoscale.stream import ForwardReply, Frame, Heartbeat, Hello
+from pimentoscale.stream.codec import FrameReader, encode_frame
+from pimentoscale.stream.frames import PROTOCOL_VERSION
 from tests.sidecars import (
     HOST_NAME,
+    POLL_S,
     WAIT_S,
     Deployment,
     make_route,
     run_deployment,
     wait_until,
 )
+from tests.test_sidecar import make_forward_request
 
 RUN_S = 1.5
 ROUTES = [
@@ -38,7 +48,8 @@
             await deployment.wait_ready()
             await scenario(deployment)
 
-    asyncio.run(run())
+    # The event loop of the programs.
+    uvloop.run(run())
 
 
 async def start_request(
@@ -79,8 +90,11 @@
     entry = deployment.machines["m1"].sidecar
     member = entry.state.members["m2"]
     port = deployment.machines["m3"].settings.stream.port
-    moved = replace(member, stream=Address(host=member.stream.host, port=port))
-    entry.links.update_member(moved, now=asyncio.get_running_loop().time())
+    moved = replace(
+        member, incarnation=99, stream=Address(host=member.stream.host, port=port)
+    )
+    now = asyncio.get_running_loop().time()
+    entry.registry._apply(moved, offset=1_000_000, now=now)
 
 
 @pytest.mark.parametrize("route", ["safe", "once"])
@@ -121,7 +135,7 @@
         node.state.settings = replace(node.state.settings, stop_grace_s=2.0)
         sending = await start_request(deployment, "once", "m2")
         node.stop()
-        # The target works until shortly before the last sixth.
+        # The target works until the last sixth has nearly begun.
         assert await sending == 200
         assert deployment.machines["m2"].target.record.cancelled == set()
 
@@ -136,7 +150,9 @@
         node.stop()
         sending = await start_request(deployment, "once", "m2")
         headers = stopping.target.record.headers["x"]
-        assert float(headers["deadline-remaining-ms"]) < 3000
+        due_s = node.state.shutdown.targets_due_at - node.state.shutdown._started
+        assert float(headers["deadline-remaining-ms"]) <= 1000 * due_s
+        assert due_s < 3.0 * 11 / 12
         assert await sending == 200
 
     run_scenario(scenario)
@@ -173,3 +189,281 @@
         writer.close()
 
     run_scenario(scenario)
+
+
+def test_retired_stream_takes_nothing_new_and_closes_after_its_last_answer() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        sending = await start_request(deployment, "once", "m2")
+        links = deployment.machines["m1"].sidecar.links
+        peer = links._peers["m2"]
+        await leave(deployment)
+        assert peer in links._retired
+        assert not peer.is_up
+        assert await sending == 200
+        await wait_until(lambda: not links._retired and peer.remote is None)
+        assert peer._task is not None
+        await wait_until(peer._task.done)
+
+    run_scenario(scenario)
+
+
+def test_stream_to_a_former_address_says_nothing_about_the_member() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        sending = await start_request(deployment, "once", "m2")
+        entry = deployment.machines["m1"].sidecar
+        retired = entry.links._peers["m2"]
+        await move(deployment)
+        states: list[bool] = []
+        entry.links.on_draining_state = lambda name, state: states.append(state)
+        deployment.machines["m2"].sidecar.receiver.send_draining()
+        assert await sending == 200
+        await wait_until(lambda: retired.remote is None)
+        assert not any(states)
+
+    run_scenario(scenario)
+
+
+async def start_waiting(
+    deployment: Deployment, entry: str, *, run_s: float
+) -> "tuple[asyncio.Task[int], asyncio.Task[int]]":
+    """Start a request at the target of m2, and one that waits for its only slot."""
+    for name in ("m1", "m2"):
+        deployment.machines[name].sidecar.views.remove("m3")
+    machine = deployment.machines["m2"]
+    machine.target.run_s = run_s
+    queue = machine.sidecar.target._queue
+    queue._admission.set_limit_algorithm(make_target_limit(1))
+
+    async def send(identity: str) -> int:
+        return (await deployment.send(entry, "/once/x", identity=identity)).status
+
+    first = asyncio.create_task(send("first"))
+    await wait_until(lambda: deployment.count_runs() == {"first": 1})
+    second = asyncio.create_task(send("second"))
+    await wait_until(lambda: queue._admission.queued == 1)
+    return first, second
+
+
+@pytest.mark.parametrize("entry", ["m1", "m2"])
+def test_request_that_still_waits_when_its_node_ends_is_refused_as_not_run(
+    entry: str,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        first, second = await start_waiting(deployment, entry, run_s=4.5)
+        node = deployment.machines["m2"].sidecar
+        node.state.settings = replace(node.state.settings, stop_grace_s=3.0)
+        node.stop()
+        assert await second == 503
+        assert "second" not in deployment.count_runs()
+        # It has run, or may have.
+        assert await first in (502, 504)
+
+    run_scenario(scenario)
+
+
+def test_waiting_request_goes_elsewhere_at_once_when_its_target_leaves() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        entry = deployment.machines["m1"].sidecar
+        other = entry.views.find("m3")
+        assert other is not None
+        first, second = await start_waiting(deployment, "m1", run_s=3.0)
+        entry.views.put(other.member)
+        assert await deployment.machines["m2"].target.deregister() == 200
+        assert await second == 200
+        assert not first.done()
+        assert await first == 200
+
+    run_scenario(scenario)
+
+
+def test_waiting_request_does_not_run_at_another_service_of_its_address() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        target = deployment.machines["m2"].target
+        node = deployment.machines["m2"].sidecar
+        first, second = await start_waiting(deployment, "m1", run_s=2.0)
+        target.identity, target.service, target.born = "i-other", "a", 60_000
+        assert await target.announce() == 200
+        current = node.target.registration.current
+        assert current is not None
+        assert current.service == "a"
+        assert await second != 200
+        assert await first == 200
+        assert "second" not in deployment.count_runs()
+
+    run_scenario(scenario)
+
+
+def test_safe_request_that_a_silence_ends_is_cancelled_at_its_target() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        unsafe = await start_request(deployment, "once", "m2")
+        safe = asyncio.create_task(deployment.send("m1", "/safe/x", identity="y"))
+        await wait_until(lambda: deployment.count_runs() == {"x": 1, "y": 1})
+        links = deployment.machines["m1"].sidecar.links
+        links._peers["m2"]._handle_silence(2.5)
+        assert (await safe).status == 502
+        # The stream is kept for the other one.
+        record = deployment.machines["m2"].target.record
+        await wait_until(lambda: record.cancelled == {"y"})
+        assert await unsafe == 200
+
+    run_scenario(scenario)
+
+
+class _RawPeer:
+    """A node that is played by a socket, with a small buffer for what it receives."""
+
+    def __init__(self) -> None:
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32768)
+        self._socket.setblocking(False)
+
+    async def connect(self, address: Address) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(self._socket, (address.host, address.port))
+        await self.send(
+            Hello(protocol=PROTOCOL_VERSION, instance="m9", incarnation=7, zone="z1")
+        )
+
+    async def send(self, frame: Frame) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(self._socket, encode_frame(frame))
+
+    async def send_request(self, identity: str) -> None:
+        loop = asyncio.get_running_loop()
+        request = make_forward_request("b", deadline=loop.time() + 5, idempotent=False)
+        request.message.encoded_headers = b"attempt-id: %b\r\n" % identity.encode()
+        request.message.headers = []
+        request.identity, request.route = identity, "once"
+        frame = make_forward(request, remaining_s=5.0, stated=None)
+        frame.query = 1
+        await self.send(frame)
+
+    async def send_heartbeat(self) -> None:
+        await self.send(
+            Heartbeat(
+                version=1,
+                offset=0,
+                held=0,
+                age_ms=0,
+                parent="",
+                draining=False,
+                clock=0,
+            )
+        )
+
+    async def receive_reply(self, *, pause_s: float = 0.0) -> ForwardReply | None:
+        """Return the reply, or None if the stream ends before it.
+
+        With `pause_s` it is received slowly, and heartbeats are sent meanwhile.
+        """
+        loop = asyncio.get_running_loop()
+        reader = FrameReader()
+        async with asyncio.timeout(WAIT_S):
+            while data := await loop.sock_recv(self._socket, 65536):
+                for frame in reader.feed(data):
+                    if isinstance(frame, ForwardReply):
+                        return frame
+                if pause_s:
+                    await asyncio.sleep(pause_s)
+                    await self.send_heartbeat()
+        return None
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+def test_answer_that_is_under_way_to_a_node_survives_the_end_of_the_sender() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        async def answer(request: HttpRequest) -> HttpResponse:
+            identity = request.find(b"attempt-id") or b""
+            headers = [(b"attempt-id", identity), (b"response-signature", b"s")]
+            return HttpResponse(status=200, headers=headers, body=b"x" * 200_000)
+
+        machine = deployment.machines["m2"]
+        machine.target.run_handler = answer
+        peer = _RawPeer()
+        await peer.connect(machine.settings.stream)
+        await peer.send_request("x")
+        await wait_until(lambda: deployment.count_runs() == {"x": 1})
+        machine.sidecar.stop()
+        async with asyncio.timeout(WAIT_S):
+            while not machine.sidecar.state.shutdown.is_closed:
+                await peer.send_heartbeat()
+                await asyncio.sleep(POLL_S)
+        receiving = asyncio.create_task(peer.receive_reply(pause_s=0.02))
+        await machine.sidecar.wait_stopped()
+        deployment.end_node("m2")
+        assert await receiving is not None
+        peer.close()
+
+    run_scenario(scenario)
+
+
+def test_node_beside_the_target_answers_before_it_ends() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        machine = deployment.machines["m2"]
+        node = machine.sidecar
+        node.state.settings = replace(node.state.settings, stop_grace_s=3.0)
+        machine.target.run_s = 20.0
+        peer = _RawPeer()
+        await peer.connect(machine.settings.stream)
+        await peer.send_request("x")
+        await wait_until(lambda: deployment.count_runs() == {"x": 1})
+        node.stop()
+        reply = await peer.receive_reply()
+        assert reply is not None
+        assert not node._stopped.is_set()
+        peer.close()
+
+    run_scenario(scenario)
+
+
+def test_node_that_ends_next_refuses_all_that_comes() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        machine = deployment.machines["m2"]
+        machine.sidecar.stop()
+        machine.sidecar.state.shutdown.is_closed = True
+        assert (await deployment.send("m2", "/once/x")).status == 503
+        peer = _RawPeer()
+        await peer.connect(machine.settings.stream)
+        await peer.send_request("x")
+        assert await peer.receive_reply() is not None
+        assert deployment.count_runs() == {}
+        peer.close()
+
+    run_scenario(scenario)
+
+
+def test_request_that_would_outlast_the_stop_is_refused_by_its_usual_time() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        machine = deployment.machines["m2"]
+        machine.target.run_s = 1.0
+        deployment.machines["m2"].sidecar.views.remove("m3")
+        assert (await deployment.send("m2", "/once/x", identity="x")).status == 200
+        node = machine.sidecar
+        node.state.settings = replace(node.state.settings, stop_grace_s=1.0)
+        node.stop()
+        assert (await deployment.send("m2", "/once/y", identity="y")).status == 503
+        peer = _RawPeer()
+        await peer.connect(machine.settings.stream)
+        await peer.send_request("z")
+        assert await peer.receive_reply() is not None
+        assert deployment.count_runs() == {"x": 1}
+        peer.close()
+
+    run_scenario(scenario)
+
+
+def test_other_nodes_hear_of_a_stop_with_a_short_grace_in_proportion() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        node = deployment.machines["m2"].sidecar
+        node.state.settings = replace(node.state.settings, stop_grace_s=1.2)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        node.stop()
+        await wait_until(lambda: node.state.is_draining)
+        assert loop.time() - began < NOTIFY_NODES_S / 2
+        await wait_until(lambda: node.receiver.is_refusing)
+        assert loop.time() - began < REFUSE_NODES_S / 2
+
+    run_scenario(scenario)
