Take only addresses as hosts, and fail to connect in one way

What was seen: a member whose host was text such as "1..2" was registered, and the task that keeps the stream to it ended for good with UnicodeError. In the settings of a node, the same text was taken as an address.

Cause: the pattern of hosts took any text of hex digits, dots and colons. Text that is no address is looked up as a name, and an invalid name raises UnicodeError, which is no OSError.

Change: hosts are IPv4 or IPv6 addresses; connecting to anything else is an OSError, and for the HTTP client the error that no connection could be opened.

--- a/src/pimentoscale/http/client.py
+++ b/src/pimentoscale/http/client.py
@@ -357,7 +357,7 @@
                 lambda: HttpClientConnection(buffered=self._buffered), host, port
             )
             _, connection = await asyncio.wait_for(connect, CONNECT_TIMEOUT_S)
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             self._in_use -= 1
             reason = str(error) or "no answer to the connect"
             raise NotConnectedError(f"{self.address}: {reason}") from error
--- a/src/pimentoscale/settings.py
+++ b/src/pimentoscale/settings.py
@@ -12,7 +12,11 @@
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,63}$")]
 Port = Annotated[int, Meta(ge=1, le=65535)]
-Host = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+$")]
+# An IPv4 address, or an IPv6 address whose last part may be an IPv4 address. Other text
+# would be looked up as a name.
+_IPV4 = r"[0-9]{1,3}(\.[0-9]{1,3}){3}"
+_IPV6 = rf"(?=.*:)[0-9a-fA-F:]{{2,39}}({_IPV4})?"
+Host = Annotated[str, Meta(pattern=rf"^({_IPV4}|{_IPV6})\Z")]
 PositiveInt = Annotated[int, Meta(ge=1)]
 Secret = Annotated[str, Meta(min_length=16)]
 
--- a/src/pimentoscale/stream/connection.py
+++ b/src/pimentoscale/stream/connection.py
@@ -171,7 +171,12 @@
     Raises `OSError` if it can't be opened.
     """
     loop = asyncio.get_running_loop()
-    _, connection = await loop.create_connection(Connection, address.host, address.port)
+    try:
+        _, connection = await loop.create_connection(
+            Connection, address.host, address.port
+        )
+    except (ValueError, OverflowError) as error:
+        raise OSError(f"{address} is not an address: {error}") from error
     return connection
 
 
