Skip member records that can't be read or are out of range

What was seen: with one deeply nested record in the members' topic, the tasks that watch the topic ended ("background task failed", RecursionError): the node followed the store no longer. A record with numbers that are too large, no slots or no name was registered as a member.

Cause: msgspec raises RecursionError for deep nesting, which is no DecodeError, and the fields had no bounds.

An announcement of a node itself that can't be refuted within the bounds is logged and ignored.

Frames between nodes always gave a FrameError: their fields are typed, and nothing in them is skipped.

--- a/src/pimentoscale/membership/member.py
+++ b/src/pimentoscale/membership/member.py
@@ -3,12 +3,23 @@
 import sys
 from dataclasses import dataclass, replace
 from enum import Enum
+from typing import Annotated
 
 import msgspec
-from result import Err, Ok, Result
+from msgspec import Meta
+from result import Result
 
+from pimentoscale.decoding import MAX_INTEGER, decode
 from pimentoscale.settings import Address
 
+# The name of an instance is the key of its record; a key's length is one byte.
+MAX_NAME_BYTES = 255
+MAX_SLOTS = 1_000_000
+
+InstanceName = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_BYTES)]
+Number = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+Slots = Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
+
 
 class MemberState(Enum):
     """States of a member, in the order that they take within an incarnation."""
@@ -30,13 +41,13 @@
     start of the upstream, empty if that is not known.
     """
 
-    instance: str
-    incarnation: int
-    sequence: int
+    instance: InstanceName
+    incarnation: Number
+    sequence: Number
     state: MemberState
     zone: str
     service: str
-    slots: int
+    slots: Slots
     http: Address
     stream: Address
     upstream: str = ""
@@ -48,6 +59,7 @@
 
 
 _DECODER = msgspec.msgpack.Decoder(Member)
+_ROSTER_DECODER = msgspec.msgpack.Decoder(list[Member])
 
 
 def _intern_texts(member: Member) -> Member:
@@ -79,16 +91,10 @@
 
 def decode_roster(data: bytes) -> Result[list[Member], str]:
     """Return the members that a record announces, or why it can't be decoded."""
-    try:
-        members = msgspec.msgpack.decode(data, type=list[Member])
-        return Ok([_intern_texts(member) for member in members])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Err(str(error))
+    members = decode(_ROSTER_DECODER, data)
+    return members.map(lambda items: [_intern_texts(item) for item in items])
 
 
 def decode_member(data: bytes) -> Result[Member, str]:
     """Return the announced member, or why the bytes can't be decoded."""
-    try:
-        return Ok(_intern_texts(_DECODER.decode(data)))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Err(str(error))
+    return decode(_DECODER, data).map(_intern_texts)
--- a/src/pimentoscale/peering/overlay.py
+++ b/src/pimentoscale/peering/overlay.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok
 
+from pimentoscale.decoding import MAX_INTEGER
 from pimentoscale.logs import get_logger
 from pimentoscale.membership import (
     Member,
@@ -174,6 +175,14 @@
         own = self._state.own
         sequence = member.sequence + 1
         incarnation = max(own.incarnation, member.incarnation)
+        if max(sequence, incarnation) > MAX_INTEGER:
+            # No other node would take the announcement that refutes it.
+            log.warning(
+                "announcement of this node ignored: incarnation=%d sequence=%d",
+                member.incarnation,
+                member.sequence,
+            )
+            return
         log.info("refuting an announcement of this node as %s", member.state.value)
         self.announce_own(replace(own, incarnation=incarnation, sequence=sequence))
 
