Refuse announcements that can't be read or are out of range

What was seen: a target's announcement with 10**30 slots, or a start for which the serial exceeds 64 bits, was acknowledged; the task that publishes the node's own record then ended for good (OverflowError), so that other nodes heard of no later change. A deeply nested announcement was never answered.

Cause: JSON numbers are not bounded, and RecursionError was not caught.

Change: slots, sequence, start and warm-up time are bounded so that every accepted announcement fits a member record; all else is answered 400 and changes nothing.

--- a/src/pimentoscale/membership/upstream.py
+++ b/src/pimentoscale/membership/upstream.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
+from pimentoscale.decoding import MAX_INTEGER
 from pimentoscale.settings import Address
 
 # An announcement may arrive this late. For so long after its end, an upstream whose
@@ -10,6 +11,8 @@
 MAX_DELAY_S = 5.0
 # Room for the announcements of one start in a serial number.
 SEQUENCES_PER_START = 1_000_000
+# The latest start in Unix milliseconds whose serial numbers a member record can hold.
+MAX_STARTED_MS = MAX_INTEGER // SEQUENCES_PER_START - 1
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/pimentoscale/platform/announcement.py
+++ b/src/pimentoscale/platform/announcement.py
@@ -6,11 +6,14 @@
 from msgspec import Meta
 from result import Err, Ok, Result
 
-from pimentoscale.membership.upstream import UpstreamAnnouncement
+from pimentoscale.decoding import MAX_INTEGER, decode
+from pimentoscale.membership.member import Slots
+from pimentoscale.membership.upstream import MAX_STARTED_MS, UpstreamAnnouncement
 from pimentoscale.settings import Address
 
 PATH_PREFIX = b"/v1/instances/"
 MAX_ANNOUNCEMENT_BYTES = 64 * 1024
+MAX_COLD_S = 86_400
 
 Text = Annotated[str, Meta(min_length=1, max_length=256)]
 
@@ -20,14 +23,14 @@
     address: Text
     zone: Text
     version: str
-    slots: Annotated[int, Meta(ge=1)]
+    slots: Slots
     state: Literal["ready", "draining"]
     # Increases with each announcement since the target started.
-    sequence: Annotated[int, Meta(ge=0)]
+    sequence: Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
     # How long the target remains slow after its start.
-    cold_remaining_s: Annotated[float, Meta(ge=0)] = 0.0
+    cold_remaining_s: Annotated[float, Meta(ge=0, le=MAX_COLD_S)] = 0.0
     # When the target started, in Unix milliseconds.
-    born: Annotated[int, Meta(ge=0)] = 0
+    born: Annotated[int, Meta(ge=0, le=MAX_STARTED_MS)] = 0
 
 
 _DECODER = msgspec.json.Decoder(_Announcement)
@@ -40,11 +43,14 @@
     identity = decode_identity(path)
     if identity is None:
         return Err("the path has no instance name")
+    announcement = decode(_DECODER, body)
+    if isinstance(announcement, Err):
+        return announcement
+    decoded = announcement.ok_value
+    host, _, port = decoded.address.rpartition(":")
     try:
-        decoded = _DECODER.decode(body)
-        host, _, port = decoded.address.rpartition(":")
         address = msgspec.convert({"host": host, "port": int(port)}, Address)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+    except (msgspec.ValidationError, ValueError) as error:
         return Err(str(error))
     return Ok(
         UpstreamAnnouncement(
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -15,24 +15,29 @@
 from pimentoscale.decoding import MAX_INTEGER
 from pimentoscale.http import (
     HttpClient,
+    HttpRequest,
     NotConnectedError,
 )
 from pimentoscale.membership import Member, MemberState
 from pimentoscale.membership.directory import Directory
 from pimentoscale.membership.member import decode_member, decode_roster, encode_member
 from pimentoscale.peering.overlay import Overlay
+from pimentoscale.platform.announcement import decode_announcement
 from pimentoscale.settings import Address
 from pimentoscale.stream import Announcements
 from pimentoscale.stream.codec import FrameError, decode_frame
 from pimentoscale.stream.connection import connect
 from pimentoscale.stream.frames import FRAMES
 from tests.sidecars import Deployment, make_route, run_deployment, wait_until
+from tests.test_platform import make_announcement
 
 MEMBERS = "keyed.members"
 ADDRESS = Address(host="10.0.0.9", port=9000)
 # Deep enough to exceed every limit of recursion.
 DEPTH = 100_000
 DEEP_MSGPACK = b"\x91" * DEPTH
+DEEP_JSON = b"[" * DEPTH
+PATH = b"/v1/instances/i-1"
 
 Scenario = Callable[[Deployment], Awaitable[None]]
 
@@ -125,6 +130,76 @@
         decode_frame(code, data)
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("slots", 10**30),
+        ("slots", 2**63),
+        ("slots", 1_000_001),
+        ("slots", 1e30),
+        ("sequence", 10**30),
+        ("sequence", 2**63),
+        ("born", 10**30),
+        ("born", 2**63),
+        ("born", MAX_INTEGER // 1_000_000),
+        ("cold_remaining_s", 1e30),
+        ("cold_remaining_s", 10**30),
+        ("address", "10.1.0.8:70000"),
+        ("address", "10.1.0.8:" + "9" * 200),
+        ("address", "1..2:80"),
+        ("address", ":80"),
+        ("state", "resting"),
+        ("service", 7),
+        ("zone", None),
+    ],
+)
+def test_announcement_out_of_range_is_refused(field: str, value: Any) -> None:
+    body = make_announcement(**{field: value})
+    assert isinstance(decode_announcement(path=PATH, body=body), Err)
+
+
+BAD_BODIES = {
+    "nested": b'{"x":' + DEEP_JSON,
+    "nested beside fields": make_announcement()[:-1]
+    + b',"x":'
+    + b"[" * 10_000
+    + b"]" * 10_000
+    + b"}",
+    "infinite": make_announcement(slots=1).replace(b'"slots": 1', b'"slots": 1e400'),
+    "digits": make_announcement(slots=1).replace(
+        b'"slots": 1', b'"slots": 1' + b"0" * 9000
+    ),
+    "not UTF-8": make_announcement(service="odd").replace(b"odd", b"\xff\xfe"),
+    "surrogate": make_announcement(service="odd").replace(b"odd", b"\\ud800"),
+    "empty": b"",
+}
+
+
+@pytest.mark.parametrize("name", BAD_BODIES)
+def test_announcement_that_cannot_be_read_is_refused(name: str) -> None:
+    assert isinstance(decode_announcement(path=PATH, body=BAD_BODIES[name]), Err)
+
+
+@given(
+    slots=st.integers(),
+    sequence=st.integers(),
+    born=st.integers(),
+    cold=st.floats(allow_nan=False, allow_infinity=False) | st.integers(),
+)
+def test_every_accepted_announcement_fits_a_member_record(
+    slots: int, sequence: int, born: int, cold: float
+) -> None:
+    body = make_announcement(
+        slots=slots, sequence=sequence, born=born, cold_remaining_s=cold
+    )
+    match decode_announcement(path=PATH, body=body):
+        case Ok(found):
+            member = make_member(slots=found.slots, sequence=found.serial)
+            assert decode_member(encode_member(member)) == Ok(member)
+        case Err(reason):
+            assert reason
+
+
 def run_zone(scenario: Scenario, *, machines: int = 3) -> None:
     """Run a scenario in one zone whose nodes are ready and follow the store."""
 
@@ -181,6 +256,70 @@
     run_zone(scenario)
 
 
+async def put(machine: Any, body: bytes) -> int:
+    """Send an announcement to a node and return the status of the answer."""
+    client = HttpClient(address=machine.settings.announcements, limit=1)
+    connection = await client.acquire(now=asyncio.get_running_loop().time())
+    path = f"/v1/instances/{machine.target.identity}".encode()
+    request = HttpRequest(
+        method=b"PUT", path=path, headers=[(b"host", b"h")], body=body
+    )
+    try:
+        async with asyncio.timeout(2.0):
+            return (await connection.exchange(request)).status
+    finally:
+        connection.close()
+
+
+def make_own_announcement(machine: Any, **changes: Any) -> bytes:
+    fields: dict[str, Any] = {
+        "service": machine.target.service,
+        "address": str(machine.settings.upstream),
+        "zone": "z1",
+    }
+    return make_announcement(**(fields | changes))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"slots": 10**30},
+        {"slots": 2**63},
+        {"sequence": 10**30},
+        {"born": 10**30},
+        {"born": 2**53},
+        {"cold_remaining_s": 1e300},
+        {"address": "10.0.0.9:70000"},
+        {"address": "1..2:80"},
+        {"service": None},
+    ],
+)
+def test_node_and_target_go_on_after_an_announcement_out_of_range(
+    change: dict[str, Any],
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        machine = deployment.machines["m1"]
+        assert await put(machine, make_own_announcement(machine, **change)) == 400
+        append_beside_marker(deployment, make_record(b"x", b""), "good")
+        await check_all_follow(deployment, marker="good")
+        assert await machine.target.deregister() == 200
+        others = [deployment.machines[item].sidecar for item in ("m0", "m2")]
+        await wait_until(lambda: all("m1" not in item.state.members for item in others))
+
+    run_zone(scenario)
+
+
+def test_announcement_that_cannot_be_read_is_answered() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        machine = deployment.machines["m0"]
+        for body in BAD_BODIES.values():
+            assert await put(machine, body) in (400, 404)
+        assert machine.sidecar.target.registration.accepts_work
+        assert not machine.sidecar._announcements.busy_connections
+
+    run_zone(scenario, machines=1)
+
+
 @pytest.mark.parametrize(
     ("host", "is_address"),
     [
