Read a page of the store past items that can't be read

What was seen: a page of newest records with one item that can't be read (no base64, a field of another type, a key that is not UTF-8) failed as a whole, so that a starting node could not read its members. A record with an empty key was relayed, and followers refused the frame with it: they lacked the other records of the frame.

Cause: an error in one item failed the whole page; msgspec refuses JSON text with lone surrogates; deep nesting raised RecursionError; empty keys were accepted from the store though not on streams.

Change: items are decoded one by one, and those with a fault are logged and skipped. Items appended after the page's end offset are left out, since they are read next. Answers that can't be read are a StoreError. The stand-in answers for keys that are not UTF-8 too; it answered 500, which no starting node can get past.

Evidence: all fourteen cases of test_item_that_cannot_be_read, three of test_nodes_follow_the_store_past_a_bad_key (one for the stand-in's 500), three of test_answer_of_the_store, one of test_lost_records, test_key_that_is_not_utf_8 and test_record_without_a_key failed on; all pass now.

--- a/src/pimentoscale/platform/store.py
+++ b/src/pimentoscale/platform/store.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import base64
-import binascii
+import json
 import struct
 from collections import Counter
-from typing import TypeVar
+from typing import Annotated, Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
+from msgspec import Meta
+from result import Err, Ok, Result
 
+from pimentoscale.decoding import MAX_INTEGER, MAX_REASON_CHARS, decode
 from pimentoscale.http import (
     HttpClient,
     HttpClientConnection,
@@ -18,6 +21,7 @@
     IncompleteResponseError,
     NotConnectedError,
 )
+from pimentoscale.logs import get_logger
 from pimentoscale.settings import Address
 from pimentoscale.store import (
     KeyedRecord,
@@ -37,29 +41,37 @@
 RECORD_LENGTH = struct.Struct(">I")
 STATUS_GONE = 410
 STATUS_OK = 200
+MAX_KEY_BYTES = 255
+# Bytes of a key that are not UTF-8 become lone surrogates in its text.
+KEY_ERRORS = "surrogateescape"
+
+log = get_logger("store")
 
 T = TypeVar("T")
 
 
+Offset = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+
+
 class _AppendAnswer(msgspec.Struct):
-    offset: int
-    end_offset: int
+    offset: Offset
+    end_offset: Offset
 
 
 class _GoneAnswer(msgspec.Struct):
-    first_offset: int
+    first_offset: Offset
 
 
 class _KeyedItem(msgspec.Struct):
     key: str
     value: str
-    offset: int
+    offset: Offset
 
 
 class _NewestAnswer(msgspec.Struct):
-    items: list[_KeyedItem]
+    items: list[Any]
     has_more: bool
-    end_offset: int
+    end_offset: Offset
 
 
 class StoreClient:
@@ -95,8 +107,8 @@
     async def read_newest(self, *, topic: str) -> NewestPage:
         """Return the newest record of each key.
 
-        The pages are not one snapshot. `next_offset` is that of the first page, so that
-        records appended in the meantime are read again.
+        The pages are not one snapshot. `next_offset` is that of the first page, and
+        records appended in the meantime are left out, since they are read after it.
         """
         items: list[KeyedRecord] = []
         next_offset: int | None = None
@@ -104,15 +116,20 @@
         while True:
             path = f"/v1/log-newest?topic={quote(topic)}&part=0"
             if after:
-                path += f"&after={quote(after, safe='')}"
+                path += f"&after={quote(after, safe='', errors=KEY_ERRORS)}"
             response = await self._call("newest", path, b"", CALL_TIMEOUT_S)
-            page = _decode(response, _NewestAnswer)
+            page = _decode_newest(response)
             if next_offset is None:
                 next_offset = page.end_offset
-            items.extend(_make_record(item) for item in page.items)
+            for item in page.items:
+                match _decode_item(item):
+                    case Ok(record) if record.offset < next_offset:
+                        items.append(record)
+                    case Err(reason):
+                        log.warning("topic %s: skipped record: %s", topic, reason)
             if not page.has_more or not page.items:
                 return NewestPage(items=items, next_offset=next_offset)
-            after = page.items[-1].key
+            after = _find_next_key(page.items[-1], after=after)
 
     def use_address(self, address: Address) -> None:
         """Send all later calls to this address."""
@@ -196,26 +213,52 @@
 
     Raises `StoreError` if it is malformed.
     """
-    if not data or len(data) < 1 + data[0]:
+    if not data or not data[0] or len(data) < 1 + data[0]:
         raise StoreError("the record has no key")
     end = 1 + data[0]
     return KeyedRecord(key=data[1:end], value=data[end:], offset=offset)
 
 
-def _make_record(item: _KeyedItem) -> KeyedRecord:
+def _decode_newest(response: HttpResponse) -> _NewestAnswer:
+    """Decode a page of newest records, whose keys may be any bytes.
+
+    msgspec refuses text that is not UTF-8, and with it all other records of the page.
+    """
     try:
-        value = base64.b64decode(item.value, validate=True)
-    except binascii.Error as error:
-        raise StoreError(f"the value of key {item.key!r} is not base64") from error
-    return KeyedRecord(
-        key=item.key.encode("utf-8", "surrogateescape"),
-        value=value,
-        offset=item.offset,
-    )
+        text = response.body.decode("utf-8", KEY_ERRORS)
+        return msgspec.convert(json.loads(text), _NewestAnswer)
+    except (msgspec.ValidationError, ValueError, RecursionError) as error:
+        reason = str(error)[:MAX_REASON_CHARS]
+        raise StoreError(f"malformed answer: {reason}") from error
 
 
-def _decode(response: HttpResponse, answer_type: type[T]) -> T:
+def _decode_item(item: Any) -> Result[KeyedRecord, str]:
+    """Return the record in an item of a page, or why it can't be read."""
     try:
-        return msgspec.json.decode(response.body, type=answer_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise StoreError(f"malformed answer: {error}") from error
+        fields = msgspec.convert(item, _KeyedItem)
+        key = fields.key.encode("utf-8", KEY_ERRORS)
+        value = base64.b64decode(fields.value, validate=True)
+    except (msgspec.ValidationError, ValueError) as error:
+        return Err(str(error)[:MAX_REASON_CHARS])
+    if not 1 <= len(key) <= MAX_KEY_BYTES:
+        return Err(f"key of {len(key)} bytes at offset {fields.offset}")
+    return Ok(KeyedRecord(key=key, value=value, offset=fields.offset))
+
+
+def _find_next_key(last: Any, *, after: str) -> str:
+    """Return the key after which the next page begins.
+
+    Raises `StoreError` if the page does not tell, or not one after the last page's.
+    """
+    key = last.get("key") if isinstance(last, dict) else None
+    if not isinstance(key, str) or not key or key == after:
+        raise StoreError("the page has no last key from which to continue")
+    return key
+
+
+def _decode(response: HttpResponse, answer_type: type[T]) -> T:
+    match decode(msgspec.json.Decoder(answer_type), response.body):
+        case Ok(answer):
+            return answer
+        case Err(reason):
+            raise StoreError(f"malformed answer: {reason}")
--- a/src/pimentoscale_bench/platform.py
+++ b/src/pimentoscale_bench/platform.py
@@ -120,7 +120,7 @@
         partition = self._topics[topic]
         items = [
             {
-                "key": key.decode(),
+                "key": key.decode("utf-8", "replace"),
                 "value": base64.b64encode(value).decode(),
                 "offset": offset,
             }
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -1,6 +1,8 @@
 """Entries that another program has written: they are skipped, and the others hold."""
 
 import asyncio
+import base64
+import json
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from types import SimpleNamespace
@@ -15,7 +17,10 @@
 from pimentoscale.decoding import MAX_INTEGER
 from pimentoscale.http import (
     HttpClient,
+    HttpLimits,
     HttpRequest,
+    HttpResponse,
+    HttpServer,
     NotConnectedError,
 )
 from pimentoscale.membership import Member, MemberState
@@ -23,12 +28,16 @@
 from pimentoscale.membership.member import decode_member, decode_roster, encode_member
 from pimentoscale.peering.overlay import Overlay
 from pimentoscale.platform.announcement import decode_announcement
+from pimentoscale.platform.store import StoreClient
 from pimentoscale.settings import Address
+from pimentoscale.store import (
+    StoreError,
+)
 from pimentoscale.stream import Announcements
 from pimentoscale.stream.codec import FrameError, decode_frame
 from pimentoscale.stream.connection import connect
 from pimentoscale.stream.frames import FRAMES
-from tests.sidecars import Deployment, make_route, run_deployment, wait_until
+from tests.sidecars import HOST, Deployment, make_route, run_deployment, wait_until
 from tests.test_platform import make_announcement
 
 MEMBERS = "keyed.members"
@@ -200,6 +209,117 @@
             assert reason
 
 
+def make_item(key: str, value: bytes, offset: int) -> dict[str, Any]:
+    return {
+        "key": key,
+        "value": base64.b64encode(value).decode(),
+        "offset": offset,
+    }
+
+
+def read_newest_keys(body: bytes) -> list[bytes]:
+    """Return the keys that a client reads from one page of the store."""
+
+    async def answer(request: HttpRequest) -> HttpResponse:
+        return HttpResponse(status=200, body=body)
+
+    async def run() -> list[bytes]:
+        server = HttpServer(handler=answer, limits=HttpLimits())
+        await server.start(host=HOST, port=0)
+        client = StoreClient(address=Address(host=HOST, port=server.port))
+        try:
+            page = await client.read_newest(topic=MEMBERS)
+        finally:
+            client.close()
+            server.close()
+        assert all(0 <= item.offset < page.next_offset for item in page.items)
+        return [item.key for item in page.items]
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "item",
+    [
+        {"key": "odd", "value": "ሴ", "offset": 1},
+        {"key": "odd", "value": "a", "offset": 1},
+        {"key": "odd", "value": None, "offset": 1},
+        {"key": 7, "value": "", "offset": 1},
+        {"key": "odd", "value": "", "offset": -1},
+        {"key": "odd", "value": "", "offset": 2**70},
+        {"key": "odd", "value": "", "offset": "1"},
+        {"key": "odd", "value": ""},
+        {"key": "", "value": "", "offset": 1},
+        {"key": "\ud800", "value": "", "offset": 1},
+        {"key": "x" * 256, "value": "", "offset": 1},
+        # Appended after the end of the page was determined: it is read again.
+        {"key": "odd", "value": "", "offset": 3},
+        7,
+        None,
+    ],
+)
+def test_item_that_cannot_be_read_does_not_hide_the_others(item: Any) -> None:
+    items = [make_item("a", b"1", 0), item, make_item("z", b"2", 2)]
+    page = {"items": items, "has_more": False, "end_offset": 3}
+    assert read_newest_keys(json.dumps(page).encode()) == [b"a", b"z"]
+
+
+def test_key_that_is_not_utf_8_is_read_as_bytes() -> None:
+    items = [make_item("a", b"1", 0), make_item("\udcff", b"1", 1)]
+    page = {"items": items, "has_more": False, "end_offset": 3}
+    assert read_newest_keys(json.dumps(page).encode()) == [b"a", b"\xff"]
+    raw = json.dumps(page).encode().replace(rb"\udcff", b"\xff")
+    assert read_newest_keys(raw) == [b"a", b"\xff"]
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        DEEP_JSON,
+        b'{"x":' + DEEP_JSON,
+        b'{"items":[' + DEEP_JSON,
+        b'{"items":[],"has_more":false,"end_offset":1e400}',
+        b'{"items":[],"has_more":false,"end_offset":' + b"9" * 5000 + b"}",
+        b'{"items":[],"has_more":false,"end_offset":-1}',
+        b'{"items":[],"has_more":false,"end_offset":18446744073709551616}',
+        b'{"items":{},"has_more":false,"end_offset":1}',
+        b"\xff",
+        b"",
+    ],
+)
+def test_answer_of_the_store_that_cannot_be_read_is_a_store_error(body: bytes) -> None:
+    with pytest.raises(StoreError):
+        read_newest_keys(body)
+
+
+def test_record_without_a_key_is_a_store_error() -> None:
+    client = StoreClient(address=ADDRESS)
+    for data in (b"", b"\x00", b"\x00value", b"\x05odd"):
+        with pytest.raises(StoreError):
+            client.decode_keyed(data, offset=1)
+
+
+@pytest.mark.parametrize(
+    "body", [b'{"first_offset":' + DEEP_JSON, b'{"x":' + DEEP_JSON]
+)
+def test_lost_records_with_an_odd_answer_are_a_store_error(body: bytes) -> None:
+    async def answer(request: HttpRequest) -> HttpResponse:
+        return HttpResponse(status=410, body=body)
+
+    async def run() -> None:
+        server = HttpServer(handler=answer, limits=HttpLimits())
+        await server.start(host=HOST, port=0)
+        client = StoreClient(address=Address(host=HOST, port=server.port))
+        try:
+            with pytest.raises(StoreError):
+                await client.read(topic=MEMBERS, offset=0, wait_ms=0)
+        finally:
+            client.close()
+            server.close()
+
+    asyncio.run(run())
+
+
 def run_zone(scenario: Scenario, *, machines: int = 3) -> None:
     """Run a scenario in one zone whose nodes are ready and follow the store."""
 
@@ -256,6 +376,33 @@
     run_zone(scenario)
 
 
+@pytest.mark.parametrize(
+    "record",
+    [
+        make_record(b"", encode_member(make_member())),
+        make_record(b"", b""),
+        b"",
+        b"\x05odd",
+        make_record(b"callers-route/\xff\xfe", b"1"),
+        make_record(b"callers-route/", b"1"),
+    ],
+)
+def test_nodes_follow_the_store_past_a_bad_key(record: bytes) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        if record:
+            append_beside_marker(deployment, record, "good")
+        else:
+            partition = deployment.service._topics[MEMBERS]
+            partition.records.append(record)
+            partition.times.append(0.0)
+            append_beside_marker(deployment, make_record(b"x", b""), "good")
+        await check_all_follow(deployment, marker="good")
+        late = await deployment.start_machine("late", "b")
+        await wait_until(lambda: "good" in late.sidecar.state.members)
+
+    run_zone(scenario)
+
+
 async def put(machine: Any, body: bytes) -> int:
     """Send an announcement to a node and return the status of the answer."""
     client = HttpClient(address=machine.settings.announcements, limit=1)
