Bound the numbers of a configuration

What could happen: a weight of 10**400 was put in force, and the weighted choice of a service converts it to a float (OverflowError; the store accepts only valid configurations, so not seen). Versions such as "-" were taken as hex digits.

Change: counts are at most 2**63 - 1, and a version consists of hex digits only.

--- a/src/pimentoscale/platform/configuration.py
+++ b/src/pimentoscale/platform/configuration.py
@@ -1,11 +1,13 @@
 """Decoding of the operator's configuration record into a route table."""
 
+from string import hexdigits
 from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta
 from result import Err, Ok, Result
 
+from pimentoscale.decoding import MAX_INTEGER, decode
 from pimentoscale.routes import (
     CallerLimits,
     Route,
@@ -21,6 +23,8 @@
 # is more urgent.
 MAX_PRIORITY = 1000
 
+Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+Positive = Annotated[int, Meta(ge=1, le=MAX_INTEGER)]
 Seconds = Annotated[float, Meta(gt=0, le=86_400)]
 Text = Annotated[str, Meta(min_length=1, max_length=4096)]
 
@@ -28,19 +32,19 @@
 class _Service(msgspec.Struct):
     name: Text
     health_path: Text
-    max_connections: Annotated[int, Meta(ge=1)]
+    max_connections: Positive
 
 
 class _Limits(msgspec.Struct):
-    header_bytes: Annotated[int, Meta(ge=1)]
-    body_bytes: Annotated[int, Meta(ge=0)]
+    header_bytes: Positive
+    body_bytes: Count
     header_timeout_s: Seconds
     idle_timeout_s: Seconds
 
 
 class _Share(msgspec.Struct):
     service: Text
-    weight: Annotated[int, Meta(ge=0)]
+    weight: Count
 
 
 class _Route(msgspec.Struct):
@@ -48,9 +52,9 @@
     path_prefix: Text
     kind: Literal["safe", "unsafe"]
     timeout_s: Seconds
-    max_attempts: Annotated[int, Meta(ge=1)]
+    max_attempts: Positive
     aim_s: Seconds | None = None
-    priority: Annotated[int, Meta(ge=0)] = 1
+    priority: Count = 1
     service: str = ""
     traffic_split: list[_Share] = msgspec.field(default_factory=list)
 
@@ -72,10 +76,10 @@
 
 def decode_configuration(data: bytes) -> Result[RouteTable, str]:
     """Return the route table, or the reason why the record is invalid."""
-    try:
-        record = _DECODER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return Err(str(error))
+    decoded = decode(_DECODER, data)
+    if isinstance(decoded, Err):
+        return decoded
+    record = decoded.ok_value
     version = _decode_version(record.version)
     if version is None:
         return Err(f"version {record.version!r} is not {VERSION_DIGITS} hex digits")
@@ -107,12 +111,9 @@
 
 
 def _decode_version(text: str) -> int | None:
-    if len(text) != VERSION_DIGITS:
-        return None
-    try:
-        return int(text, 16)
-    except ValueError:
+    if len(text) != VERSION_DIGITS or not set(text) <= set(hexdigits):
         return None
+    return int(text, 16)
 
 
 def _find_error(
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -28,6 +28,7 @@
 from pimentoscale.membership.member import decode_member, decode_roster, encode_member
 from pimentoscale.peering.overlay import Overlay
 from pimentoscale.platform.announcement import decode_announcement
+from pimentoscale.platform.configuration import decode_configuration
 from pimentoscale.platform.store import StoreClient
 from pimentoscale.settings import Address
 from pimentoscale.store import (
@@ -38,7 +39,7 @@
 from pimentoscale.stream.connection import connect
 from pimentoscale.stream.frames import FRAMES
 from tests.sidecars import HOST, Deployment, make_route, run_deployment, wait_until
-from tests.test_platform import make_announcement
+from tests.test_platform import make_announcement, make_configuration
 
 MEMBERS = "keyed.members"
 ADDRESS = Address(host="10.0.0.9", port=9000)
@@ -209,6 +210,31 @@
             assert reason
 
 
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("services", 0, "max_connections"), 10**400),
+        (("limits", "header_bytes"), 10**400),
+        (("limits", "body_bytes"), 2**63),
+        (("hosts", 0, "paths", 0, "traffic_split", 0, "weight"), 10**400),
+        (("hosts", 0, "paths", 0, "max_attempts"), 2**63),
+        (("hosts", 0, "paths", 0, "priority"), 10**400),
+        (("version",), "-000000c"),
+        (("version",), " 000000c"),
+        (("version",), "0_00000c"),
+    ],
+)
+def test_configuration_out_of_range_is_refused(
+    path: tuple[Any, ...], value: Any
+) -> None:
+    configuration = make_configuration()
+    entry: Any = configuration
+    for key in path[:-1]:
+        entry = entry[key]
+    entry[path[-1]] = value
+    assert isinstance(decode_configuration(json.dumps(configuration).encode()), Err)
+
+
 def make_item(key: str, value: bytes, offset: int) -> dict[str, Any]:
     return {
         "key": key,
@@ -403,6 +429,25 @@
     run_zone(scenario)
 
 
+@pytest.mark.parametrize(
+    "value",
+    [
+        b'{"x":' + DEEP_JSON,
+        DEEP_JSON,
+        b'{"version":1e400}',
+        b"\xff",
+        b"{}",
+    ],
+)
+def test_nodes_follow_the_store_past_a_bad_configuration(value: bytes) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.write(value)
+        append_beside_marker(deployment, make_record(b"x", b""), "good")
+        await check_all_follow(deployment, marker="good")
+
+    run_zone(scenario)
+
+
 async def put(machine: Any, body: bytes) -> int:
     """Send an announcement to a node and return the status of the answer."""
     client = HttpClient(address=machine.settings.announcements, limit=1)
