Write the own member record again if another writer has replaced it

What was seen: a node whose record another writer had deleted, or replaced by bytes that can't be read or by a record of another member, did not write it again, so nodes that start later would not learn of it. A record under any other key took a member out of use.

Cause: a node compared only decodable records with its own, and the key of a record was not compared with the member that it names.

Change: a member record counts only under the key of its member; a node whose record is replaced by one that doesn't count writes its own again.

Evidence: three cases of test_own_record_that_another_writer_replaced and test_record_of_a_member_counts_only_under_its_own_key failed before and pass now.

--- a/src/pimentoscale/forwarding/registry.py
+++ b/src/pimentoscale/forwarding/registry.py
@@ -75,18 +75,27 @@
         if record.key.startswith(ROUTE_KEY_PREFIX):
             self._apply_route(record.key.removeprefix(ROUTE_KEY_PREFIX))
             return
-        if not record.value:
+        is_own = record.key == self._state.settings.instance.encode()
+        if not record.value and not is_own:
             self._remove(record.key.decode("utf-8", "replace"))
             return
         match decode_member(record.value):
-            case Err(reason):
-                log.warning(
-                    "invalid member record at offset %d skipped: %s",
-                    record.offset,
-                    reason,
-                )
-            case Ok(member):
+            case Ok(member) if member.instance.encode() == record.key:
                 self._apply(member, offset=record.offset, now=now)
+                return
+            case Ok(member):
+                reason = f"it names {member.instance!r}"
+            case Err(error):
+                reason = error
+        log.warning(
+            "invalid member record of %r at offset %d skipped: %s",
+            record.key,
+            record.offset,
+            reason,
+        )
+        if is_own and self.make_own_member() is not None:
+            # Nodes that start later would not learn of this one.
+            self._changed.set()
 
     async def publish(self) -> None:
         """Write this node's record after each change; retry until the store has it."""
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -448,6 +448,51 @@
     run_zone(scenario)
 
 
+BAD_OWN_VALUES = {
+    "deleted": b"",
+    "nested": BAD_MEMBERS["nested"],
+    "another": encode_member(make_member(instance="m2")),
+}
+
+
+@pytest.mark.parametrize("name", BAD_OWN_VALUES)
+def test_own_record_that_another_writer_replaced_is_written_again(name: str) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        record = make_record(b"m1", BAD_OWN_VALUES[name])
+        before = deployment.service.get_end(MEMBERS)
+        append_beside_marker(deployment, record, "good")
+        await wait_until(lambda: deployment.service.get_end(MEMBERS) > before + 2)
+        await check_all_follow(deployment, marker="good")
+        nodes = [machine.sidecar for machine in deployment.machines.values()]
+        await wait_until(
+            lambda: all(
+                node.views.find(item) is not None
+                for node in nodes
+                for item in ("m0", "m1", "m2")
+            )
+        )
+        late = await deployment.start_machine("late", "b")
+        await wait_until(lambda: late.sidecar.views.find("m1") is not None)
+        assert late.sidecar.state.members["m1"].stream == (
+            deployment.machines["m1"].settings.stream
+        )
+
+    run_zone(scenario)
+
+
+def test_record_of_a_member_counts_only_under_its_own_key() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        gone = make_member(instance="m1", state=MemberState.GONE, sequence=MAX_INTEGER)
+        append_beside_marker(
+            deployment, make_record(b"odd", encode_member(gone)), "good"
+        )
+        await check_all_follow(deployment, marker="good")
+        for machine in deployment.machines.values():
+            assert machine.sidecar.views.find("m1") is not None
+
+    run_zone(scenario)
+
+
 async def put(machine: Any, body: bytes) -> int:
     """Send an announcement to a node and return the status of the answer."""
     client = HttpClient(address=machine.settings.announcements, limit=1)
