Keep background tasks after an unexpected error

What was seen: an unexpected error in the handling of one record lost the others of its batch for good, since the replica held them already, and ended the watch of the topic. The same kind of error ended the publication of the own record, the periodic checks, the steps of the log tasks and the task that keeps a stream.

Change: the handling of each record, each read, write and check, and each connection logs an unexpected error with its traceback and goes on. Repeated ones are limited by the delays of the tasks; the periodic checks log the same error once.

--- a/src/pimentoscale/distribution/log_tasks.py
+++ b/src/pimentoscale/distribution/log_tasks.py
@@ -257,12 +257,16 @@
         self._own_changed.set()
 
     async def _run_step(self, step: Callable[[], Awaitable[None]]) -> bool:
-        """Run one step; return False and wait for a while if the store fails."""
+        """Run one step; return False and wait for a while if it fails."""
         try:
             await step()
         except StoreError as error:
             self.store_failures += 1
             log.debug("call to the store failed: %s", error)
-            await asyncio.sleep(RETRY_DELAY_S * (1 + self._rng.random()))
-            return False
-        return True
+        except Exception as error:
+            # The task of the step must go on.
+            log.error("step of the log tasks failed", exc_info=error)
+        else:
+            return True
+        await asyncio.sleep(RETRY_DELAY_S * (1 + self._rng.random()))
+        return False
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -339,6 +339,8 @@
 
     async def _tick(self) -> None:
         loop = asyncio.get_running_loop()
+        # The last unexpected error, which is logged once.
+        fault = ""
         while True:
             await asyncio.sleep(TICK_S)
             now = loop.time()
@@ -352,15 +354,24 @@
                     late_s,
                 )
                 self.receiver.reset_timeouts(now=now)
-            self.receiver.close_timed_out(now=now)
-            self.links.close_idle(now=now)
-            self.target.close_idle(now=now)
-            self.target.log_rate(now=now)
-            self._share_degraded_route(now)
-            # The number of members sets this node's part of the retry slack.
-            self.forwarder.apply_settings()
-            self.relay.update(now=now)
-            self.relay.send_status(now=now)
+            try:
+                self._check(now=now)
+            except Exception as error:
+                if repr(error) != fault:
+                    log.error("periodic check failed", exc_info=error)
+                fault = repr(error)
+
+    def _check(self, *, now: float) -> None:
+        """Do what is due at fixed times, such as closing silent streams."""
+        self.receiver.close_timed_out(now=now)
+        self.links.close_idle(now=now)
+        self.target.close_idle(now=now)
+        self.target.log_rate(now=now)
+        self._share_degraded_route(now)
+        # The number of members sets this node's part of the retry slack.
+        self.forwarder.apply_settings()
+        self.relay.update(now=now)
+        self.relay.send_status(now=now)
 
     def _spawn(self, run: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(run)
--- a/src/pimentoscale/forwarding/registry.py
+++ b/src/pimentoscale/forwarding/registry.py
@@ -103,8 +103,14 @@
             await self._changed.wait()
             self._changed.clear()
             member = self.make_own_member()
-            if member is not None and not await self._try_put(member):
-                self._changed.set()
+            if member is None:
+                continue
+            try:
+                if not await self._try_put(member):
+                    self._changed.set()
+            except Exception as error:
+                # A later record of this node can still be written.
+                log.error("own member record not written", exc_info=error)
 
     async def store_route(self, route: str) -> None:
         """Write a caller route to the store, unless another node has done so."""
--- a/src/pimentoscale/forwarding/relay.py
+++ b/src/pimentoscale/forwarding/relay.py
@@ -55,7 +55,17 @@
         newer = replica.apply(records, source=source)
         handle = self._handlers[replica.topic]
         for record in newer:
-            handle(record)
+            try:
+                handle(record)
+            except Exception as error:
+                # The replica holds the record: it would not be handled again, nor
+                # would the others of its batch.
+                log.error(
+                    "topic %s: record at offset %d not applied",
+                    replica.topic,
+                    record.offset,
+                    exc_info=error,
+                )
         now = asyncio.get_running_loop().time()
         if replica.topic == self._first_topic and replica.next_offset is not None:
             self.selection.record_loaded(now=now)
--- a/src/pimentoscale/store/watch.py
+++ b/src/pimentoscale/store/watch.py
@@ -90,6 +90,14 @@
                 self._handle_failure(error, now=loop.time())
                 wait_s = backoff_s * self._rng.uniform(0.5, 1.5)
                 backoff_s = min(BACKOFF_MAX_S, 2 * backoff_s)
+            except Exception as error:
+                # Nothing else reads the topic: the watch must go on.
+                log.error(
+                    "topic %s: a read failed unexpectedly",
+                    self._replica.topic,
+                    exc_info=error,
+                )
+                wait_s = BACKOFF_MAX_S
             if wait_s > 0:
                 await asyncio.sleep(wait_s)
 
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -271,6 +271,9 @@
             except (OSError, FrameError, TimeoutError) as error:
                 log.debug("connection to %s failed: %s", self.address, error)
                 reason = str(error) or type(error).__name__
+            except Exception as error:
+                log.error("stream to %s failed", self.address, exc_info=error)
+                reason = type(error).__name__
             self._drop_connection(reason)
             if self._is_retired:
                 return
@@ -290,8 +293,8 @@
                     lambda frame: self._handle_frame(connection, remote, frame)
                 )
                 heartbeat.cancel()
-        except BaseExceptionGroup as group:
-            raise OSError(str(group.exceptions[0])) from group
+        except ExceptionGroup as group:
+            raise group.exceptions[0] from group
         finally:
             connection.close()
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import random
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from types import SimpleNamespace
@@ -15,6 +16,8 @@
 from result import Err, Ok
 
 from pimentoscale.decoding import MAX_INTEGER
+from pimentoscale.distribution import log_tasks
+from pimentoscale.distribution.log_tasks import LogTasks
 from pimentoscale.http import (
     HttpClient,
     HttpLimits,
@@ -32,7 +35,12 @@
 from pimentoscale.platform.store import StoreClient
 from pimentoscale.settings import Address
 from pimentoscale.store import (
+    NewestPage,
+    RecordPage,
     StoreError,
+    TopicReplica,
+    TopicWatcher,
+    watch,
 )
 from pimentoscale.stream import Announcements
 from pimentoscale.stream.codec import FrameError, decode_frame
@@ -448,6 +456,34 @@
     run_zone(scenario)
 
 
+def test_failed_handling_of_a_record_keeps_the_others_of_its_batch(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        for machine in deployment.machines.values():
+            handlers = machine.sidecar.relay._handlers
+            apply_record = handlers[MEMBERS]
+
+            def fail_on_odd(record: Any, apply: Any = apply_record) -> None:
+                if record.key == b"odd":
+                    raise RuntimeError("unexpected")
+                apply(record)
+
+            handlers[MEMBERS] = fail_on_odd
+        record = make_record(b"odd", encode_member(make_member()))
+        append_beside_marker(deployment, record, "good")
+        await check_all_follow(deployment, marker="good")
+        end = deployment.service.get_end(MEMBERS)
+        replicas = [
+            machine.sidecar.relay.replicas[MEMBERS]
+            for machine in deployment.machines.values()
+        ]
+        await wait_until(lambda: all(item.next_offset == end for item in replicas))
+
+    run_zone(scenario)
+    assert sum("not applied" in item.getMessage() for item in caplog.records) == 3
+
+
 BAD_OWN_VALUES = {
     "deleted": b"",
     "nested": BAD_MEMBERS["nested"],
@@ -589,6 +625,165 @@
     asyncio.run(run())
 
 
+def test_stream_is_opened_again_after_an_unexpected_error(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        links = deployment.machines["m0"].sidecar.links
+        peer = links.find_peer("m1")
+        assert peer is not None
+        calls = 0
+
+        def fail_twice(name: str) -> None:
+            nonlocal calls
+            calls += 1
+            if calls <= 2:
+                raise RuntimeError("unexpected")
+
+        links.on_stream_up = fail_twice
+        assert peer._connection is not None
+        peer._connection.abort()
+        await wait_until(lambda: calls == 3)
+        await wait_until(lambda: links.is_up("m1"))
+
+    run_zone(scenario, machines=2)
+    assert sum("failed" in item.getMessage() for item in caplog.records) == 2
+
+
+class FailingStore:
+    """A store whose first reads fail in a way that no client of it expects."""
+
+    def __init__(self, *, failures: int) -> None:
+        self._failures = failures
+        self.reads = 0
+
+    async def read_newest(self, *, topic: str) -> NewestPage:
+        self.reads += 1
+        if self.reads <= self._failures:
+            raise RecursionError("unexpected")
+        return NewestPage(items=[], next_offset=7)
+
+    async def read(self, *, topic: str, offset: int, wait_ms: int) -> RecordPage:
+        await asyncio.Event().wait()
+        raise AssertionError
+
+
+def test_watch_goes_on_after_an_unexpected_error(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(watch, "BACKOFF_MAX_S", 0.01)
+
+    async def run() -> None:
+        replica = TopicReplica(topic=MEMBERS)
+        may_read = asyncio.Event()
+        may_read.set()
+        watcher = TopicWatcher(
+            store=FailingStore(failures=2),  # type: ignore[arg-type]
+            replica=replica,
+            may_read=may_read,
+            on_records=lambda replica, records, source: None,
+            on_result=lambda succeeded, now: None,
+            wait_ms=0,
+            pause_s=0.0,
+            rng=random.Random(1),
+        )
+        task = asyncio.create_task(watcher.run())
+        await wait_until(lambda: replica.next_offset == 7)
+        assert not task.done()
+        task.cancel()
+
+    asyncio.run(run())
+    assert sum("unexpectedly" in item.getMessage() for item in caplog.records) == 2
+
+
+def test_publication_goes_on_after_an_unexpected_error(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        machine = deployment.machines["m1"]
+        store = machine.sidecar.registry._store
+        put_record = store.put
+        failures = 0
+
+        async def fail_once(**arguments: Any) -> int:
+            nonlocal failures
+            if not failures:
+                failures += 1
+                raise OverflowError("unexpected")
+            return await put_record(**arguments)
+
+        machine.sidecar.registry._store = FakePut(fail_once)  # type: ignore[assignment]
+        machine.sidecar.registry._changed.set()
+        await wait_until(lambda: failures == 1)
+        assert await machine.target.deregister() == 200
+        other = deployment.machines["m0"].sidecar
+        await wait_until(lambda: "m1" not in other.state.members)
+
+    run_zone(scenario, machines=2)
+    assert (
+        sum("record not written" in item.getMessage() for item in caplog.records) == 1
+    )
+
+
+class FakePut:
+    """A store that can only be written to."""
+
+    def __init__(self, put: Callable[..., Awaitable[int]]) -> None:
+        self.put = put
+
+
+def test_periodic_checks_go_on_after_an_unexpected_error(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        sidecar = deployment.machines["m0"].sidecar
+        checks = 0
+
+        def fail(*, now: float) -> None:
+            nonlocal checks
+            checks += 1
+            if checks <= 3:
+                raise RuntimeError("unexpected")
+
+        sidecar.target.close_idle = fail  # type: ignore[method-assign]
+        await wait_until(lambda: checks >= 5)
+        assert len(sidecar._tasks) == 4
+
+    run_zone(scenario, machines=1)
+    messages = [item.getMessage() for item in caplog.records]
+    assert sum("periodic check failed" in item for item in messages) == 1
+
+
+def make_log_tasks() -> LogTasks:
+    return LogTasks(
+        state=SimpleNamespace(),  # type: ignore[arg-type]
+        store=SimpleNamespace(),
+        overlay=SimpleNamespace(own_watchers=[]),  # type: ignore[arg-type]
+        distribution=SimpleNamespace(),  # type: ignore[arg-type]
+        rng=random.Random(1),
+    )
+
+
+def test_failed_step_of_the_log_tasks_is_logged_and_tried_again(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(log_tasks, "RETRY_DELAY_S", 0.0)
+
+    async def fail() -> None:
+        raise OverflowError("unexpected")
+
+    async def succeed() -> None:
+        pass
+
+    async def run() -> None:
+        tasks = make_log_tasks()
+        assert not await tasks._run_step(fail)
+        assert await tasks._run_step(succeed)
+
+    asyncio.run(run())
+    assert sum("step of the log" in item.getMessage() for item in caplog.records) == 1
+
+
 @pytest.mark.parametrize(
     "changes", [{"sequence": MAX_INTEGER}, {"sequence": 2, "incarnation": MAX_INTEGER}]
 )
