Answer a request whose handler fails

What was seen: after an unexpected error in a handler the connection stayed open without an answer, and took no further request.

Change: the error is logged, the answer is 500 and the connection is closed. 500 does not state that nothing has run.

Evidence: test_failed_handler_of_a_request_is_answered_and_logged failed before and passes now.

--- a/src/pimentoscale/http/server.py
+++ b/src/pimentoscale/http/server.py
@@ -187,7 +187,12 @@
             self._task = asyncio.create_task(self._serve(request, keeps_alive))
 
     async def _serve(self, request: HttpRequest, keeps_alive: bool) -> None:
-        response = await self._server.handler(request)
+        try:
+            response = await self._server.handler(request)
+        except Exception as error:
+            log.error("request failed: an unexpected error", exc_info=error)
+            response = HttpResponse(status=500)
+            keeps_alive = False
         closes = not keeps_alive or self._server.is_closing
         to_head = request.method == b"HEAD"
         self._write(response.encode(closes=closes, to_head=to_head))
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -593,6 +593,33 @@
     run_zone(scenario, machines=1)
 
 
+def test_failed_handler_of_a_request_is_answered_and_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def fail(request: HttpRequest) -> HttpResponse:
+        raise RecursionError("unexpected")
+
+    async def run() -> None:
+        server = HttpServer(handler=fail, limits=HttpLimits())
+        await server.start(host=HOST, port=0)
+        address = Address(host=HOST, port=server.port)
+        client = HttpClient(address=address, limit=1)
+        connection = await client.acquire(now=asyncio.get_running_loop().time())
+        request = HttpRequest(
+            method=b"GET", path=b"/", headers=[(b"host", b"h")], body=b""
+        )
+        try:
+            async with asyncio.timeout(2.0):
+                assert (await connection.exchange(request)).status == 500
+        finally:
+            connection.close()
+        await wait_until(lambda: not server.connections)
+        server.close()
+
+    asyncio.run(run())
+    assert sum("request failed" in item.getMessage() for item in caplog.records) == 1
+
+
 @pytest.mark.parametrize(
     ("host", "is_address"),
     [
