Read a time left of any number of digits

What was seen: a request whose remaining time has more than 4,300 digits was never answered: Python refuses to convert them (ValueError).

Change: leading zeros are dropped, and what has more digits than the maximum is the maximum, as smaller numbers above it.

Evidence: two cases of test_time_left_of_many_digits_is_read failed before and pass now.

--- a/src/pimentoscale/platform/messages.py
+++ b/src/pimentoscale/platform/messages.py
@@ -49,7 +49,9 @@
         if remaining is None:
             remaining_s = None
         elif remaining.isdigit():
-            remaining_s = min(int(remaining), MAX_REMAINING_MS) / 1000
+            # Python does not convert more than some thousands of digits.
+            digits = remaining.lstrip(b"0")[: len(str(MAX_REMAINING_MS)) + 1]
+            remaining_s = min(int(digits or b"0"), MAX_REMAINING_MS) / 1000
         else:
             return None
         host = headers_by_name.get(b"host", b"")
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -593,6 +593,28 @@
     run_zone(scenario, machines=1)
 
 
+@pytest.mark.parametrize("digits", [b"9" * 5000, b"0" * 5000 + b"900"])
+def test_time_left_of_many_digits_is_read(digits: bytes) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = HttpClient(
+            address=deployment.machines["m0"].settings.outgoing, limit=1
+        )
+        connection = await client.acquire(now=asyncio.get_running_loop().time())
+        headers = [
+            (b"host", b"h.example"),
+            (b"attempt-id", b"one"),
+            (b"deadline-remaining-ms", digits),
+        ]
+        request = HttpRequest(method=b"GET", path=b"/rb/x", headers=headers, body=b"")
+        try:
+            async with asyncio.timeout(3.0):
+                assert (await connection.exchange(request)).status == 200
+        finally:
+            connection.close()
+
+    run_zone(scenario, machines=1)
+
+
 def test_failed_handler_of_a_request_is_answered_and_logged(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
