Skip patches that not every node could apply

What was seen: a deeply nested patch in the configuration topic raised RecursionError, and one with keys that are not text TypeError, which ended the task that reads the topic. With less nesting it depended on the stack of the caller whether a patch was rejected: nodes could come to different verdicts.

Change: a patch of more than 16 levels, or with keys that are not text, can't be decoded, at every node alike. Counts and ratios are bounded.

Evidence: eleven cases of test_fold_goes_on_after_a_bad_record failed before and pass now. test_any_patch_gets_a_verdict_or_is_skipped passed before too.

--- a/src/pimentoscale/configuration/fold.py
+++ b/src/pimentoscale/configuration/fold.py
@@ -21,6 +21,7 @@
     SnapshotRecord,
     decode_record,
 )
+from pimentoscale.decoding import decode
 
 MAX_VERDICTS = 4096
 MAX_HISTORY_ENTRIES = 256
@@ -85,6 +86,9 @@
     history: list[HistoryEntry] = field(default_factory=list)
 
 
+_STATE_DECODER = msgspec.msgpack.Decoder(FoldState)
+
+
 class Fold:
     """Derives configuration versions from the records of the log.
 
@@ -146,11 +150,11 @@
         if compute_digest(record.state) != record.digest:
             self.skipped_records += 1
             return False
-        try:
-            state = msgspec.msgpack.decode(record.state, type=FoldState)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        decoded = decode(_STATE_DECODER, record.state)
+        if isinstance(decoded, Err):
             self.skipped_records += 1
             return False
+        state = decoded.ok_value
         if state.version < self.version:
             self.snapshot_mismatches += 1
             return False
--- a/src/pimentoscale/configuration/model.py
+++ b/src/pimentoscale/configuration/model.py
@@ -5,12 +5,16 @@
 
 from msgspec import Meta
 
+from pimentoscale.decoding import MAX_INTEGER
 from pimentoscale.settings import Name, PositiveInt
 
+# Products of ratios and limits stay finite.
+MAX_RATIO = 1e6
+
 Importance = Annotated[int, Meta(ge=0, le=100)]
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
-Count = Annotated[int, Meta(ge=0)]
-Ratio = Annotated[float, Meta(gt=0.0)]
+Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+Ratio = Annotated[float, Meta(gt=0.0, le=MAX_RATIO)]
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/pimentoscale/configuration/patch.py
+++ b/src/pimentoscale/configuration/patch.py
@@ -2,6 +2,7 @@
 
 import copy
 import dataclasses
+import itertools
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -22,6 +23,9 @@
 )
 from pimentoscale.configuration.rules import check_configuration, check_kinds
 
+# Tables of a configuration are nested three deep, and some values are lists.
+MAX_PATCH_DEPTH = 16
+
 TABLES: dict[str, type] = {"zones": Zone, "services": Service, "kinds": Kind}
 
 
@@ -52,6 +56,23 @@
     return convert_document(document=document, schema=Patch)
 
 
+def find_fault(changes: dict[str, Any]) -> str:
+    """Return why the changes of a patch can't be applied, or an empty text.
+
+    Every node must come to the same verdict, so the depth is limited here and not by
+    the room on each node's stack.
+    """
+    level: list[Any] = [changes]
+    for _ in range(MAX_PATCH_DEPTH):
+        tables = [item for item in level if isinstance(item, dict)]
+        lists = [item for item in level if not isinstance(item, dict)]
+        if not all(isinstance(key, str) for table in tables for key in table):
+            return "a key that is not text"
+        values = itertools.chain(*(table.values() for table in tables), *lists)
+        level = [item for item in values if isinstance(item, dict | list | tuple)]
+    return f"more than {MAX_PATCH_DEPTH} levels" if level else ""
+
+
 def apply_patch(
     *, configuration: Configuration, patch: Patch
 ) -> Result[Configuration, list[Fault]]:
--- a/src/pimentoscale/configuration/records.py
+++ b/src/pimentoscale/configuration/records.py
@@ -5,7 +5,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from pimentoscale.configuration.patch import Patch
+from pimentoscale.configuration.patch import Patch, find_fault
+from pimentoscale.decoding import decode
 
 
 class PatchRecord(msgspec.Struct, frozen=True, kw_only=True, tag="patch"):
@@ -59,7 +60,9 @@
 
 def decode_record(data: bytes) -> Result[Record, str]:
     """Return the decoded record, or why the bytes can't be decoded."""
-    try:
-        return Ok(_DECODER.decode(data))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Err(str(error))
+    decoded = decode(_DECODER, data)
+    match decoded:
+        case Ok(PatchRecord(patch=patch)):
+            fault = find_fault(patch.set)
+            return Err(fault) if fault else decoded
+    return decoded
--- a/src/pimentoscale/settings.py
+++ b/src/pimentoscale/settings.py
@@ -9,6 +9,7 @@
 from result import Err, Result
 
 from pimentoscale.checking import Fault, convert_document
+from pimentoscale.decoding import MAX_INTEGER
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,63}$")]
 Port = Annotated[int, Meta(ge=1, le=65535)]
@@ -17,7 +18,7 @@
 _IPV4 = r"[0-9]{1,3}(\.[0-9]{1,3}){3}"
 _IPV6 = rf"(?=.*:)[0-9a-fA-F:]{{2,39}}({_IPV4})?"
 Host = Annotated[str, Meta(pattern=rf"^({_IPV4}|{_IPV6})\Z")]
-PositiveInt = Annotated[int, Meta(ge=1)]
+PositiveInt = Annotated[int, Meta(ge=1, le=MAX_INTEGER)]
 Secret = Annotated[str, Meta(min_length=16)]
 
 
--- a/src/pimentoscale/ticket/issuer.py
+++ b/src/pimentoscale/ticket/issuer.py
@@ -10,6 +10,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from pimentoscale.decoding import decode
 from pimentoscale.errors import CallError, ErrorKind
 
 TICKET_TTL_MS = 120_000
@@ -46,6 +47,9 @@
         return now_ms >= self.expires_ms
 
 
+_DECODER = msgspec.msgpack.Decoder(Ticket)
+
+
 class TicketIssuer:
     """Issues tickets that only nodes with the shared secret can make or alter."""
 
@@ -89,10 +93,11 @@
         mac, data = raw[:MAC_BYTES], raw[MAC_BYTES:]
         if not hmac.compare_digest(mac, self._sign(data)):
             return _make_error("the signature differs")
-        try:
-            return Ok(msgspec.msgpack.decode(data, type=Ticket))
-        except (msgspec.DecodeError, UnicodeDecodeError):
-            return _make_error("not a ticket of this version")
+        match decode(_DECODER, data):
+            case Ok(ticket):
+                return Ok(ticket)
+            case Err(_):
+                return _make_error("not a ticket of this version")
 
     def _sign(self, data: bytes) -> bytes:
         return hashlib.blake2b(data, key=self._key, digest_size=MAC_BYTES).digest()
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -15,6 +15,15 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from pimentoscale.configuration import (
+    ConfigurationReplica,
+    Consent,
+    Patch,
+    PatchRecord,
+    SnapshotRecord,
+    encode_record,
+)
+from pimentoscale.configuration.fold import compute_digest
 from pimentoscale.decoding import MAX_INTEGER
 from pimentoscale.distribution import log_tasks
 from pimentoscale.distribution.log_tasks import LogTasks
@@ -642,6 +651,93 @@
     assert sum("request failed" in item.getMessage() for item in caplog.records) == 1
 
 
+def encode_patch(name: str, base: int, changes: Any) -> bytes:
+    patch = Patch(base=base, set=changes)
+    record = PatchRecord(id=name, patch=patch, submitter="op", message="", at_ms=0)
+    return encode_record(record)
+
+
+def nest(depth: int) -> Any:
+    value: Any = {}
+    for _ in range(depth):
+        value = {"x": value}
+    return value
+
+
+BAD_PATCHES = {
+    "nested": encode_patch("odd", 0, {"zones": {"a": {}}}).replace(
+        b"\x81\xa1a\x80", b"\x81\xa1a" + b"\x81\xa1x" * DEPTH + b"\x80"
+    ),
+    "nested lists": encode_patch("odd", 0, {"zones": {"a": {}}}).replace(
+        b"\x81\xa1a\x80", DEEP_MSGPACK + b"\x80"
+    ),
+    "nested, decodable": encode_patch("odd", 0, {"zones": {"a": nest(400)}}),
+    "keys that are not text": encode_patch("odd", 0, {"zones": {1: {}, "a": {}}}),
+    "infinite": encode_patch("odd", 0, {"policy": {"queue_factor": float("inf")}}),
+    "not a number": encode_patch("odd", 0, {"policy": {"queue_factor": float("nan")}}),
+    "number": encode_patch("odd", 0, {"retry_bound": 2**64 - 1}),
+    "deep in the frame": b"\x81\xa1x" + DEEP_MSGPACK,
+    "not UTF-8": encode_patch("odd", 0, {}).replace(b"odd", b"\xff\xfe\xfd"),
+    "snapshot": encode_record(
+        SnapshotRecord(
+            offset=99,
+            digest=compute_digest(b"\x81\xa1x" + DEEP_MSGPACK),
+            state=b"\x81\xa1x" + DEEP_MSGPACK,
+            instance="odd",
+        )
+    ),
+}
+
+
+@pytest.mark.parametrize("name", BAD_PATCHES)
+@pytest.mark.parametrize("stack", [0, 600])
+def test_fold_goes_on_after_a_bad_record(name: str, stack: int) -> None:
+    def apply_all(levels: int) -> None:
+        if levels:
+            apply_all(levels - 1)
+            return
+        replica.apply(first=0, records=[BAD_PATCHES[name]], snapshot=b"")
+        replica.apply(first=1, records=records, snapshot=BAD_PATCHES[name])
+
+    replica = ConfigurationReplica()
+    good = encode_patch("good", 0, {"zones": {"a": {}}})
+    consent = encode_record(Consent(patch="good", zone="a", instance="i"))
+    records = [good, consent]
+    # A fold must not depend on the room on the stack, which differs between callers.
+    apply_all(stack)
+    assert replica.fold.version == 1
+    assert replica.fold.next_offset == 3
+    snapshot = replica.fold.make_snapshot(instance="i")
+    other = ConfigurationReplica()
+    assert other.fold.install_snapshot(snapshot)
+
+
+TEXTS = st.text(alphabet="abx.", max_size=3)
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.floats() | TEXTS,
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(TEXTS | st.integers(0, 9), inner, max_size=3)
+    ),
+    max_leaves=10,
+)
+
+
+@given(
+    changes=st.dictionaries(
+        st.sampled_from(["zones", "services", "kinds", "policy", "retry_bound", "x"]),
+        VALUES,
+    )
+)
+def test_any_patch_gets_a_verdict_or_is_skipped(changes: Any) -> None:
+    replica = ConfigurationReplica()
+    replica.apply(first=0, records=[encode_patch("odd", 0, changes)], snapshot=b"")
+    fold = replica.fold
+    is_decided = fold.find_verdict(patch="odd") is not None
+    assert is_decided or fold.pending is not None or fold.skipped_records == 1
+    assert fold.next_offset == 1
+
+
 @pytest.mark.parametrize(
     ("host", "is_address"),
     [
