Report every fault of a settings file

What was seen: a port of thousands of digits, or a digit that is not ASCII, raised ValueError, and TOML nested too deep RecursionError: the program ended without naming the key, and a running node ended its watch of the file.

Change: ports of a range are checked before they are converted, the own IP address is checked as addresses are, and every error of the TOML parser is a fault of the file.

--- a/src/pimentoscale/configuration/patch.py
+++ b/src/pimentoscale/configuration/patch.py
@@ -50,7 +50,7 @@
     """Read a patch file in TOML."""
     try:
         document = tomllib.loads(path.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         allowed = "a readable TOML file"
         return Err([Fault(key=str(path), seen=str(error), allowed=allowed)])
     return convert_document(document=document, schema=Patch)
--- a/src/pimentoscale/platform/settings.py
+++ b/src/pimentoscale/platform/settings.py
@@ -8,11 +8,14 @@
 
 from pimentoscale.checking import Fault
 from pimentoscale.forwarding.settings import SidecarSettings
-from pimentoscale.settings import Address
+from pimentoscale.settings import Address, Host
 
 SETTINGS_VARIABLE = "PIMENTOSCALE_NODE_FILE"
 DEFAULT_PATH = "/etc/pimentoscale/boot.conf"
 
+MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+
 Values = Mapping[str, str]
 
 
@@ -38,6 +41,7 @@
             values[key.strip()] = value.strip()
     reader = _Reader(values=values)
     first_port, last_port = reader.read_ports("internal_port_range")
+    ip_address = reader.read_host("ip_address")
     bounds = _decode_bounds(values.get("bounds", ""))
     settings = SidecarSettings(
         instance=reader.read_text("node"),
@@ -47,8 +51,8 @@
         readiness=reader.read_address("listen_addresses.ready"),
         # The application announces itself here.
         announcements=reader.read_address("listen_addresses.control"),
-        stream=Address(host=reader.read_text("ip_address"), port=first_port),
-        metrics=Address(host=reader.read_text("ip_address"), port=last_port),
+        stream=Address(host=ip_address, port=first_port),
+        metrics=Address(host=ip_address, port=last_port),
         upstream=reader.read_address("application_address"),
         upstream_service=values.get("service", ""),
         store=reader.read_address("platform.address"),
@@ -91,10 +95,19 @@
             return Address(host="0.0.0.0", port=1)
         return address
 
+    def read_host(self, key: str) -> str:
+        """Return a required IP address."""
+        value = self._values.get(key, "")
+        try:
+            return msgspec.convert(value, Host)
+        except msgspec.ValidationError:
+            self._add_fault(key, value, "an IP address, as 10.1.0.8")
+            return "0.0.0.0"
+
     def read_ports(self, key: str) -> tuple[int, int]:
         """Return the first and the last port of a required range."""
         first, _, last = self._values.get(key, "").partition(",")
-        if first.isdigit() and last.isdigit() and int(first) < int(last) < 65536:
+        if _is_port(first) and _is_port(last) and int(first) < int(last):
             return int(first), int(last)
         self._add_fault(key, self._values.get(key, ""), "two ports, as 7620,7635")
         return 1, 2
@@ -103,6 +116,11 @@
         self.faults.append(Fault(key=key, seen=repr(seen), allowed=allowed))
 
 
+def _is_port(text: str) -> bool:
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_PORT_DIGITS
+    return is_number and 1 <= int(text) <= MAX_PORT
+
+
 def _decode_bounds(text: str) -> dict[str, float]:
     """Return the numeric bounds; ignore the others, which a sidecar does not use."""
     bounds: dict[str, float] = {}
--- a/src/pimentoscale/settings.py
+++ b/src/pimentoscale/settings.py
@@ -83,7 +83,7 @@
     """
     try:
         document = tomllib.loads(path.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         allowed = "a readable TOML file"
         return Err([Fault(key=str(path), seen=str(error), allowed=allowed)])
     return convert_document(document=document, schema=NodeSettings)
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
@@ -22,6 +23,7 @@
     PatchRecord,
     SnapshotRecord,
     encode_record,
+    read_patch,
 )
 from pimentoscale.configuration.fold import compute_digest
 from pimentoscale.decoding import MAX_INTEGER
@@ -41,8 +43,9 @@
 from pimentoscale.peering.overlay import Overlay
 from pimentoscale.platform.announcement import decode_announcement
 from pimentoscale.platform.configuration import decode_configuration
+from pimentoscale.platform.settings import decode_settings
 from pimentoscale.platform.store import StoreClient
-from pimentoscale.settings import Address
+from pimentoscale.settings import Address, read_node_settings
 from pimentoscale.store import (
     NewestPage,
     RecordPage,
@@ -56,7 +59,7 @@
 from pimentoscale.stream.connection import connect
 from pimentoscale.stream.frames import FRAMES
 from tests.sidecars import HOST, Deployment, make_route, run_deployment, wait_until
-from tests.test_platform import make_announcement, make_configuration
+from tests.test_platform import SETTINGS, make_announcement, make_configuration
 
 MEMBERS = "keyed.members"
 ADDRESS = Address(host="10.0.0.9", port=9000)
@@ -738,6 +741,44 @@
     assert fold.next_offset == 1
 
 
+@pytest.mark.parametrize(
+    "text",
+    ["a=" + "[" * DEPTH, "a=" + "9" * 5000, "a=\ud800"],
+)
+def test_file_that_cannot_be_parsed_is_a_fault(text: str, tmp_path: Path) -> None:
+    path = tmp_path / "file.toml"
+    path.write_bytes(text.encode("utf-8", "surrogatepass"))
+    assert isinstance(read_patch(path=path), Err)
+    assert isinstance(read_node_settings(path=path), Err)
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("internal_port_range", "9" * 5000 + ",7635"),
+        ("internal_port_range", "7620," + "9" * 5000),
+        ("internal_port_range", "7620,70000"),
+        ("internal_port_range", "0,7635"),
+        ("internal_port_range", "²,7635"),
+        ("ip_address", "1..2"),
+        ("ip_address", "1" * 300),
+        ("platform.address", "1..2:80"),
+        ("platform.address", "10.0.0.1:" + "9" * 5000),
+        ("application_address", "10.0.0.1:70000"),
+    ],
+)
+def test_setting_out_of_range_is_a_fault(key: str, value: str) -> None:
+    lines = [
+        f"{key}={value}" if line.startswith(f"{key}=") else line
+        for line in SETTINGS.splitlines()
+    ]
+    match decode_settings(text="\n".join(lines)):
+        case Err(faults):
+            assert [fault.key for fault in faults] == [key]
+        case Ok(_):
+            pytest.fail("no fault")
+
+
 @pytest.mark.parametrize(
     ("host", "is_address"),
     [
