--- a/src/pimentoscale/forwarding/registry.py
+++ b/src/pimentoscale/forwarding/registry.py
@@ -75,18 +75,27 @@
         if record.key.startswith(ROUTE_KEY_PREFIX):
             self._apply_route(record.key.removeprefix(ROUTE_KEY_PREFIX))
             return
-        if not record.value:
+        is_own = record.key == self._state.settings.instance.encode()
+        if not record.value and not is_own:
             self._remove(record.key.decode("utf-8", "replace"))
             return
         match decode_member(record.value):
-            case Err(reason):
-                log.warning(
-                    "invalid member record at offset %d skipped: %s",
-                    record.offset,
-                    reason,
-                )
-            case Ok(member):
+            case Ok(member) if member.instance.encode() == record.key:
                 self._apply(member, offset=record.offset, now=now)
+                return
+            case Ok(member):
+                reason = f"it names {member.instance!r}"
+            case Err(error):
+                reason = error
+        log.warning(
+            "invalid member record of %r at offset %d skipped: %s",
+            record.key,
+            record.offset,
+            reason,
+        )
+        if is_own and self.make_own_member() is not None:
+            # Nodes that start later would not learn of this one.
+            self._changed.set()
 
     async def publish(self) -> None:
         """Write this node's record after each change; retry until the store has it."""
@@ -94,8 +103,14 @@
             await self._changed.wait()
             self._changed.clear()
             member = self.make_own_member()
-            if member is not None and not await self._try_put(member):
-                self._changed.set()
+            if member is None:
+                continue
+            try:
+                if not await self._try_put(member):
+                    self._changed.set()
+            except Exception as error:
+                # A later record of this node can still be written.
+                log.error("own member record not written", exc_info=error)
 
     async def store_route(self, route: str) -> None:
         """Write a caller route to the store, unless another node has done so."""
--- a/src/pimentoscale/settings.py
+++ b/src/pimentoscale/settings.py
@@ -9,11 +9,16 @@
 from result import Err, Result
 
 from pimentoscale.checking import Fault, convert_document
+from pimentoscale.decoding import MAX_INTEGER
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,63}$")]
 Port = Annotated[int, Meta(ge=1, le=65535)]
-Host = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+$")]
-PositiveInt = Annotated[int, Meta(ge=1)]
+# An IPv4 address, or an IPv6 address whose last part may be an IPv4 address. Other text
+# would be looked up as a name.
+_IPV4 = r"[0-9]{1,3}(\.[0-9]{1,3}){3}"
+_IPV6 = rf"(?=.*:)[0-9a-fA-F:]{{2,39}}({_IPV4})?"
+Host = Annotated[str, Meta(pattern=rf"^({_IPV4}|{_IPV6})\Z")]
+PositiveInt = Annotated[int, Meta(ge=1, le=MAX_INTEGER)]
 Secret = Annotated[str, Meta(min_length=16)]
 
 
@@ -78,7 +83,7 @@
     """
     try:
         document = tomllib.loads(path.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         allowed = "a readable TOML file"
         return Err([Fault(key=str(path), seen=str(error), allowed=allowed)])
     return convert_document(document=document, schema=NodeSettings)
