Let targets leave and nodes stop in series in the soak, and judge given up work

The soak did not show the fault: its targets always drained before they ended, runs took 10 ms, so none was in progress at a change, and a 502 or 504 in place of a target's answer was not judged.

- `leave`: a target deregisters without draining, half the time its node stops then.
- `roll`: SIGTERM to several nodes in series while other targets leave.
Any stop may get a second SIGTERM.
Every fourth node has a grace period of 3 s.
- Runs take 0.01 to 1.5 s.
The latency goal of the routes is 1.5 s to match.
- A node's own 500, 502 or 504 for a run that was cut or still goes on is a breach.
- A stop has to end 1 s after the grace unless the node was suspended; it was 10 s.
- The recovery of nodes is checked at all of them at once, since probes run longer.

--- a/src/pimentoscale_bench/soak/callers.py
+++ b/src/pimentoscale_bench/soak/callers.py
@@ -16,6 +16,7 @@
     SoakDeployment,
     SoakNode,
     is_answer_intact,
+    is_signed,
     make_request,
 )
 from pimentoscale_bench.soak.record import Exchange
@@ -80,11 +81,13 @@
         loop = asyncio.get_running_loop()
         self.sent += 1
         route = self.rng.choice(ROUTES)
+        now = loop.time()
         exchange = Exchange(
             identity=f"{self.name}-{self.sent}",
             node=self.node.name,
             is_idempotent=route != "once",
-            sent_at=loop.time(),
+            sent_at=now,
+            deadline=now + DEADLINE_S,
         )
         path = f"/{route}/{exchange.identity}"
         request = make_request(
@@ -102,6 +105,7 @@
             exchange.detail = str(error) or "no answer in time"
         else:
             exchange.status = response.status
+            exchange.is_signed = is_signed(response)
             if response.status == 200:
                 exchange.is_intact = is_answer_intact(
                     response, path=path, identity=exchange.identity
--- a/src/pimentoscale_bench/soak/deployment.py
+++ b/src/pimentoscale_bench/soak/deployment.py
@@ -6,11 +6,14 @@
 import asyncio
 import contextlib
 import json
+import math
 import os
+import random
 import signal
 import subprocess
 import sys
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -39,9 +42,15 @@
     "target_relay": 7611,
 }
 STREAM_PORTS = (7620, 7635)
+# The runs of a target take these times, most of them the shorter ones.
+RUN_S = (0.01, 1.5)
 GRACE_S = 6.0
+# Each node of this many has a short grace period.
+SHORT_GRACE_S = 3.0
+SHORT_GRACE_PERIOD = 4
 READY_TIMEOUT_S = 20.0
-STOP_TIMEOUT_S = 10.0
+# Longer than a grace period and a suspension together.
+STOP_TIMEOUT_S = 13.0
 POLL_S = 0.05
 
 
@@ -51,6 +60,8 @@
 
     `callers`, `store` and `upstream` are the relays from its callers, to the store and
     to its target. `is_restarting` is set while the process or the target is replaced.
+    `first_grace_s` is the grace period with which it was first started, the shortest
+    that it has.
     """
 
     name: str
@@ -63,6 +74,7 @@
     upstream: Relay
     process: "subprocess.Popen[bytes] | None" = None
     grace_s: float = GRACE_S
+    first_grace_s: float = GRACE_S
     is_restarting: bool = False
 
     def get_address(self, port_name: str) -> Address:
@@ -91,10 +103,12 @@
     """Starts and configures the processes of a soak, and stops only these.
 
     `subnet` is the second byte of all loopback addresses; concurrent runs need
-    different ones. `routes` and `version` are the newest configuration.
+    different ones. `routes` and `version` are the newest configuration. The run times
+    of requests are drawn from `seed`.
     """
 
     folder: Path
+    seed: int
     subnet: int
     node_count: int
     record: SoakRecord = field(default_factory=SoakRecord)
@@ -235,6 +249,7 @@
             slots=SLOTS,
             control=node.get_address("listen_addresses.control"),
             announced_address=node.upstream.listen,
+            run_handler=partial(self._run_request, node),
         )
         # At one address, the announcement of the later start takes precedence.
         target.born = len(self.targets) + 1
@@ -244,6 +259,8 @@
     def _make_node(self, index: int) -> SoakNode:
         host = f"127.{self.subnet}.1.{index + 1}"
         service = SERVICES[index % len(SERVICES)]
+        is_short = index % SHORT_GRACE_PERIOD == SHORT_GRACE_PERIOD - 1
+        grace_s = SHORT_GRACE_S if is_short else GRACE_S
 
         def make_relay(port_name: str, target: Address) -> Relay:
             return Relay(
@@ -261,10 +278,19 @@
             callers=make_relay("callers_relay", outgoing),
             store=make_relay("store_relay", self.store),
             upstream=make_relay("target_relay", upstream),
+            grace_s=grace_s,
+            first_grace_s=grace_s,
         )
         node.target = self.make_target(node, f"t-{index + 1}-1")
         return node
 
+    async def _run_request(self, node: SoakNode, request: HttpRequest) -> None:
+        identity = (request.find(b"attempt-id") or b"").decode()
+        rng = random.Random(f"{self.seed}/{identity}")
+        run_s = math.exp(rng.uniform(*map(math.log, RUN_S)))
+        with self.record.track_run(identity, node=node.name):
+            await asyncio.sleep(run_s)
+
     def _spawn(
         self, name: str, command: list[str], environment: dict[str, str]
     ) -> "subprocess.Popen[bytes]":
@@ -296,7 +322,7 @@
         "path_prefix": f"/{name}/",
         "kind": kind,
         "timeout_s": 2,
-        "aim_s": 0.5,
+        "aim_s": 1.5,
         "priority": 0 if kind == "unsafe" else 1,
         "max_attempts": 2,
         "service": service,
@@ -319,10 +345,15 @@
     )
 
 
+def is_signed(response: HttpResponse) -> bool:
+    """Return whether an answer is a target's, not one of a node's own."""
+    return response.find(b"response-signature") is not None
+
+
 def is_answer_intact(response: HttpResponse, *, path: str, identity: str) -> bool:
     """Return whether a success is the target's complete answer to this request."""
     return (
-        response.find(b"response-signature") is not None
+        is_signed(response)
         and response.find(b"attempt-id") == identity.encode()
         and f"ran {path} ".encode() in response.body
     )
--- a/src/pimentoscale_bench/soak/faults.py
+++ b/src/pimentoscale_bench/soak/faults.py
@@ -5,7 +5,7 @@
 import random
 import signal
 from bisect import bisect_right
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 
 import httpx
@@ -13,13 +13,8 @@
 from pimentoscale.http import IncompleteResponseError, NotConnectedError
 from pimentoscale_bench.relay import Relay
 from pimentoscale_bench.soak.callers import send_once
-from pimentoscale_bench.soak.deployment import (
-    GRACE_S,
-    SERVICES,
-    SoakDeployment,
-    SoakNode,
-)
-from pimentoscale_bench.soak.record import DISTURBANCE_GRACE_S, STOP
+from pimentoscale_bench.soak.deployment import SERVICES, SoakDeployment, SoakNode
+from pimentoscale_bench.soak.record import AFTER_GRACE_S, DISTURBANCE_GRACE_S, STOP
 from pimentoscale_bench.target import StandInTarget
 
 # A target receives no new requests later than this after its draining was acknowledged,
@@ -31,6 +26,17 @@
 # A node's answers may still be late for this time after it was resumed.
 SETTLE_S = 1.0
 MAX_PAUSE_S = 4.0
+# A reload of the settings lengthens the grace period by up to this.
+MAX_ADDED_GRACE_S = 1.0
+# Share of the stops in which the node gets a second SIGTERM.
+REPEAT_SHARE = 0.3
+# In a series of stops, up to one of this many nodes is stopped, at least two; after
+# each, another target leaves with this probability.
+ROLL_PART = 3
+ROLL_LEAVE_SHARE = 0.5
+MAX_ROLL_GAP_S = 1.5
+# A target that left without draining is replaced within this time.
+MAX_LEAVE_S = 3.0
 MAX_CUT_S = 5.0
 MAX_DELAY_S = 0.3
 MAX_SILENCE_S = 2.0
@@ -100,43 +106,101 @@
     await context.deployment.wait_ready(node)
 
 
+@contextlib.contextmanager
+def _claim(node: SoakNode) -> Iterator[None]:
+    """Keep other faults from replacing the process or the target of a node."""
+    node.is_restarting = True
+    try:
+        yield
+    finally:
+        node.is_restarting = False
+
+
 @register_fault("kill")
 async def kill_node(context: FaultContext) -> str:
     """Kill a node but not its target, and start it again."""
     node, deployment = context.choose_node(), context.deployment
     if node.is_restarting:
         return f"{node.name} is already being restarted"
-    node.is_restarting = True
-    with deployment.record.track_disturbance(
-        "kill", node=node.name, breaks_callers=True
+    with (
+        _claim(node),
+        deployment.record.track_disturbance(
+            "kill", node=node.name, breaks_callers=True, breaks_runs=True
+        ),
     ):
         deployment.signal_node(node, signal.SIGKILL)
         await _restart(context, node)
-    node.is_restarting = False
     return node.name
 
 
 @register_fault("terminate")
 async def terminate_node(context: FaultContext) -> str:
     """Stop a node with SIGTERM under load, and start it again."""
-    node, deployment = context.choose_node(), context.deployment
+    node = context.choose_node()
     if node.is_restarting:
         return f"{node.name} is already being restarted"
-    node.is_restarting = True
-    began = _get_now()
-    with deployment.record.track_disturbance(STOP, node=node.name):
+    return await _stop_and_restart(context, node)
+
+
+async def _stop_and_restart(context: FaultContext, node: SoakNode) -> str:
+    """Stop a node with SIGTERM, perhaps with a second one, and start it again."""
+    with _claim(node):
+        return await _stop_and_restart_claimed(context, node)
+
+
+async def _stop_and_restart_claimed(context: FaultContext, node: SoakNode) -> str:
+    deployment, record = context.deployment, context.deployment.record
+    loop = asyncio.get_running_loop()
+    repeats = context.rng.random() < REPEAT_SHARE
+    repeat_s = context.choose_seconds(node.grace_s)
+    with record.track_disturbance(
+        STOP, node=node.name, grace_s=node.first_grace_s
+    ) as stop:
         deployment.signal_node(node, signal.SIGTERM)
-        if not await deployment.wait_ended(node):
-            deployment.record.breaches.append(f"{node.name} did not exit after SIGTERM")
+        if repeats:
+            repeat = loop.call_later(
+                repeat_s, deployment.signal_node, node, signal.SIGTERM
+            )
+        has_ended = await deployment.wait_ended(node)
+        if repeats:
+            # The next process must not get it.
+            repeat.cancel()
+        stopped_s = _get_now() - stop.began
+    longest_s = node.first_grace_s + MAX_ADDED_GRACE_S + AFTER_GRACE_S
+    is_late = stopped_s > longest_s and not record.has_disturbance(
+        "pause", node=node.name, since=stop.began, until=_get_now()
+    )
+    if is_late or not has_ended:
+        record.breaches.append(
+            f"{node.name} had not ended {stopped_s:.2f} s after SIGTERM"
+        )
+    with record.track_disturbance("down", node=node.name, breaks_callers=True):
+        if not has_ended:
             deployment.signal_node(node, signal.SIGKILL)
             await deployment.wait_ended(node)
-        stopped_s = _get_now() - began
-    with deployment.record.track_disturbance(
-        "down", node=node.name, breaks_callers=True
-    ):
         await _restart(context, node)
-    node.is_restarting = False
-    return f"{node.name} ended after {stopped_s:.2f} s"
+    return f"{node.name} ended after {stopped_s:.2f} s" + repeats * ", two SIGTERM"
+
+
+@register_fault("roll")
+async def roll_nodes(context: FaultContext) -> str:
+    """Stop several nodes, each before the last one has ended, and start them again.
+
+    Meanwhile targets of other nodes may leave.
+    """
+    rng, nodes = context.rng, context.deployment.nodes
+    most = max(2, len(nodes) // ROLL_PART)
+    tasks = []
+    for node in rng.sample(nodes, min(len(nodes), rng.randint(2, most))):
+        if not node.is_restarting:
+            tasks.append(asyncio.create_task(_stop_and_restart(context, node)))
+        await asyncio.sleep(rng.uniform(0, MAX_ROLL_GAP_S))
+        other = context.choose_node()
+        if not other.is_restarting and rng.random() < ROLL_LEAVE_SHARE:
+            leaving = _replace_target(context, other, stops_node=False)
+            tasks.append(asyncio.create_task(leaving))
+            await asyncio.sleep(0)
+    return "; ".join(await asyncio.gather(*tasks))
 
 
 @register_fault("pause")
@@ -144,7 +208,7 @@
     """Suspend a node's process for a while."""
     node, deployment = context.choose_node(), context.deployment
     with deployment.record.track_disturbance(
-        "pause", node=node.name, breaks_callers=True
+        "pause", node=node.name, breaks_callers=True, breaks_runs=True
     ):
         deployment.signal_node(node, signal.SIGSTOP)
         await asyncio.sleep(context.choose_seconds(MAX_PAUSE_S))
@@ -157,7 +221,7 @@
 async def reload_settings(context: FaultContext) -> str:
     """Rewrite a node's settings file, with or without a SIGHUP."""
     node = context.choose_node()
-    node.grace_s = GRACE_S + context.rng.choice((0.0, 1.0))
+    node.grace_s = node.first_grace_s + context.rng.choice((0.0, MAX_ADDED_GRACE_S))
     context.deployment.write_settings(node)
     if context.rng.random() < 0.5:
         context.deployment.signal_node(node, signal.SIGHUP)
@@ -184,7 +248,10 @@
     relay: Relay = getattr(node, relay_name)
     is_callers = relay_name == "callers"
     with context.deployment.record.track_disturbance(
-        "reset", node=node.name, breaks_callers=is_callers
+        "reset",
+        node=node.name,
+        breaks_callers=is_callers,
+        breaks_runs=relay_name == "upstream",
     ):
         relay.reset()
     return f"{node.name} {relay_name}"
@@ -194,7 +261,9 @@
 async def silence_target(context: FaultContext) -> str:
     """Block the bytes from a target to its node, or in both directions."""
     node = context.choose_node()
-    with context.deployment.record.track_disturbance("silence", node=node.name):
+    with context.deployment.record.track_disturbance(
+        "silence", node=node.name, breaks_runs=True
+    ):
         node.upstream.cut(forward=context.rng.random() < 0.5)
         await asyncio.sleep(context.choose_seconds(MAX_SILENCE_S))
         node.upstream.heal()
@@ -298,37 +367,81 @@
 
     Its answers state that it leaves; it may say so before it announces it.
     """
-    node, deployment = context.choose_node(), context.deployment
+    node = context.choose_node()
     if node.is_restarting:
         return f"{node.name} is being restarted"
-    node.is_restarting = True
     old_target = node.target
-    old_target.is_leaving = True
-    if context.rng.random() < 0.5:
-        await asyncio.sleep(context.choose_seconds(SETTLE_S))
-    old_target.state = "draining"
-    acknowledged = await _announce(old_target)
-    await asyncio.sleep(DRAIN_BOUND_S + SETTLE_S)
-    if acknowledged and old_target.record.last_arrival > acknowledged + DRAIN_BOUND_S:
-        late_s = old_target.record.last_arrival - acknowledged
-        deployment.record.breaches.append(
-            f"{old_target.identity} received a request {late_s:.2f} s "
-            "after its draining was acknowledged"
+    with _claim(node):
+        old_target.is_leaving = True
+        if context.rng.random() < 0.5:
+            await asyncio.sleep(context.choose_seconds(SETTLE_S))
+        old_target.state = "draining"
+        acknowledged = await _repeat(old_target.announce)
+        await asyncio.sleep(DRAIN_BOUND_S + SETTLE_S)
+        _check_arrivals(context, old_target, acknowledged)
+        await _start_target(context, node)
+    return old_target.identity
+
+
+@register_fault("leave")
+async def leave_target(context: FaultContext) -> str:
+    """Deregister a target without draining, perhaps stop its node, and replace both.
+
+    The target goes on serving what it has.
+    """
+    node = context.choose_node()
+    if node.is_restarting:
+        return f"{node.name} is being restarted"
+    stops_node = context.rng.random() < 0.5
+    return await _replace_target(context, node, stops_node=stops_node)
+
+
+async def _replace_target(
+    context: FaultContext, node: SoakNode, *, stops_node: bool
+) -> str:
+    old_target = node.target
+    with _claim(node):
+        if context.rng.random() < 0.5:
+            old_target.is_leaving = True
+            await asyncio.sleep(context.rng.uniform(0, SETTLE_S))
+        acknowledged = await _repeat(old_target.deregister)
+        detail = f"{old_target.identity} left at {acknowledged:.3f}"
+        if stops_node:
+            await asyncio.sleep(context.rng.uniform(0, SETTLE_S))
+            detail += f", {await _stop_and_restart_claimed(context, node)}"
+        else:
+            await asyncio.sleep(context.choose_seconds(MAX_LEAVE_S))
+        _check_arrivals(context, old_target, acknowledged)
+        await _start_target(context, node)
+    return detail
+
+
+def _check_arrivals(
+    context: FaultContext, target: StandInTarget, acknowledged: float
+) -> None:
+    """Check that a target that left gets no requests after the bound."""
+    late_s = target.record.last_arrival - acknowledged
+    if acknowledged and late_s > DRAIN_BOUND_S:
+        context.deployment.record.breaches.append(
+            f"{target.identity} received a request {late_s:.2f} s "
+            "after its leaving was acknowledged"
         )
-    old_target.close()
-    node.target = deployment.make_target(
-        node, f"{node.name}-t{len(deployment.targets)}"
-    )
+
+
+async def _start_target(context: FaultContext, node: SoakNode) -> None:
+    """Replace a node's target by a new one; the old one ends what it runs."""
+    deployment = context.deployment
+    node.target.close()
+    identity = f"{node.name}-t{len(deployment.targets)}"
+    node.target = deployment.make_target(node, identity)
     await node.target.start(node.get_address("target"))
-    node.is_restarting = False
-    return old_target.identity
 
 
-async def _announce(target: StandInTarget) -> float:
-    """Announce until acknowledged; return the time of the acknowledgement, or 0."""
+async def _repeat(send: Callable[[], Awaitable[int]]) -> float:
+    """Send until acknowledged; return the time of the acknowledgement, or 0."""
     for _ in range(ANNOUNCE_ATTEMPTS):
         with contextlib.suppress(IncompleteResponseError, NotConnectedError):
-            if await target.announce() == OK:
+            if await send() == OK:
                 return _get_now()
         await asyncio.sleep(ANNOUNCE_PAUSE_S)
     return 0.0
--- a/src/pimentoscale_bench/soak/record.py
+++ b/src/pimentoscale_bench/soak/record.py
@@ -2,16 +2,24 @@
 
 import asyncio
 import math
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 REFUSED_STATUSES = (408, 421, 429, 503)
+# The statuses with which a node answers in place of a target that may have run.
+OWN_ERROR_STATUSES = (500, 502, 504)
 # A node counts as undisturbed only this long after a fault at it has ended.
 DISTURBANCE_GRACE_S = 3.0
 # The kind of disturbance in which a node shuts down gracefully.
 STOP = "stop"
+# A stopping node may give up a request that it still runs in the last part of its grace
+# period if it was sent at most this long after the SIGTERM (the users' bounds).
+LAST_PART = 1 / 6
+TAKING_S = 3.0
+# After the grace period, the node is killed within this time (the users' bound).
+AFTER_GRACE_S = 1.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -19,67 +27,134 @@
     """One request of a caller and its outcome.
 
     `status` is 0 if no complete answer arrived, and `ended_at` is 0 until the end.
+    `is_signed` is set if the answer is a target's.
     """
 
     identity: str
     node: str
     is_idempotent: bool
     sent_at: float
+    deadline: float
     ended_at: float = 0.0
     status: int = 0
+    is_signed: bool = False
     is_intact: bool = True
     detail: str = ""
 
 
+@dataclass(slots=True, kw_only=True)
+class Run:
+    """The time span in which the target beside a node was at work on a request.
+
+    `was_cut` is set if it was told to stop, as by the end of its connection.
+    """
+
+    node: str
+    began: float
+    ended: float = math.inf
+    was_cut: bool = False
+
+
 @dataclass(slots=True, kw_only=True)
 class Disturbance:
     """The time span of a fault; `node` is empty if it affects all nodes.
 
-    With `breaks_callers`, connections from callers may break or answers may be late.
+    With `breaks_callers`, connections from callers may break or answers may be late;
+    with `breaks_runs`, what the node's target runs or the node waits for may be given
+    up. `grace_s` is the grace period of a stop.
     """
 
     node: str
     kind: str
     began: float
-    breaks_callers: bool
+    breaks_callers: bool = False
+    breaks_runs: bool = False
+    grace_s: float = 0.0
     ended: float = math.inf
 
+    def is_last_part(self, at: float) -> bool:
+        """Return whether a time is in the last part of the grace period of a stop."""
+        elapsed_s = at - self.began
+        return (
+            (1 - LAST_PART) * self.grace_s
+            <= elapsed_s
+            <= (self.grace_s + AFTER_GRACE_S)
+        )
+
 
 @dataclass(slots=True, kw_only=True)
 class SoakRecord:
     """All that is checked at the end of a soak; times are those of the event loop.
 
-    `runs` counts the runs of each request at the targets; `breaches` are those found
-    while the soak ran.
+    `runs` counts the runs of each request at the targets, and `timed_runs` holds them
+    with their times; `breaches` are those found while the soak ran.
     """
 
     exchanges: list[Exchange] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
+    timed_runs: defaultdict[str, list[Run]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     breaches: list[str] = field(default_factory=list)
 
     @contextmanager
     def track_disturbance(
-        self, kind: str, *, node: str = "", breaks_callers: bool = False
-    ) -> Iterator[None]:
+        self,
+        kind: str,
+        *,
+        node: str = "",
+        breaks_callers: bool = False,
+        breaks_runs: bool = False,
+        grace_s: float = 0.0,
+    ) -> Iterator[Disturbance]:
         """Record a fault as in progress while the context is active.
 
         Enter it inside a running event loop.
         """
         loop = asyncio.get_running_loop()
         disturbance = Disturbance(
-            node=node, kind=kind, began=loop.time(), breaks_callers=breaks_callers
+            node=node,
+            kind=kind,
+            began=loop.time(),
+            breaks_callers=breaks_callers,
+            breaks_runs=breaks_runs,
+            grace_s=grace_s,
         )
         self.disturbances.append(disturbance)
         try:
-            yield
+            yield disturbance
         finally:
             disturbance.ended = loop.time()
 
+    @contextmanager
+    def track_run(self, identity: str, *, node: str) -> Iterator[None]:
+        """Record a run at the target beside a node while the context is active.
+
+        Enter it inside a running event loop.
+        """
+        loop = asyncio.get_running_loop()
+        run = Run(node=node, began=loop.time())
+        self.timed_runs[identity].append(run)
+        try:
+            yield
+        except asyncio.CancelledError:
+            run.was_cut = True
+            raise
+        finally:
+            run.ended = loop.time()
+
     def is_undisturbed(self, node: str, *, since: float, until: float) -> bool:
         """Return whether no fault affected a node in a span of time."""
         return not any(_find_disturbances(self.disturbances, node, since, until))
 
+    def has_disturbance(
+        self, kind: str, *, node: str, since: float, until: float
+    ) -> bool:
+        """Return whether a fault of a kind affected a node in a span of time."""
+        found = _find_disturbances(self.disturbances, node, since, until)
+        return any(disturbance.kind == kind for disturbance in found)
+
     def find_breaches(self) -> list[str]:
         """Return every breach: those found while the soak ran and in the exchanges."""
         breaches = list(self.breaches)
@@ -103,6 +178,48 @@
                 f"{exchange.identity} at {exchange.node} was lost after "
                 f"{exchange.ended_at - exchange.sent_at:.3f} s: {exchange.detail}"
             )
+        for run in self._find_given_up_runs(exchange):
+            yield (
+                f"{exchange.identity}, sent at {exchange.sent_at:.3f}, was given up: "
+                f"{exchange.node} answered {exchange.status} at "
+                f"{exchange.ended_at:.3f}, while {run.node} ran it from "
+                f"{run.began:.3f} to {run.ended:.3f}, cut={run.was_cut}"
+            )
+
+    def _find_given_up_runs(self, exchange: Exchange) -> Iterable[Run]:
+        """Return the runs in place of whose answers the node gave one without excuse.
+
+        A run that goes on after that answer counts like one that was cut.
+        """
+        if exchange.is_signed or exchange.status not in OWN_ERROR_STATUSES:
+            return
+        if exchange.ended_at >= exchange.deadline:
+            return
+        for run in self.timed_runs[exchange.identity]:
+            was_given_up = run.was_cut or run.ended > exchange.ended_at
+            if was_given_up and not self._may_give_up(exchange, run):
+                yield run
+
+    def _may_give_up(self, exchange: Exchange, run: Run) -> bool:
+        """Return whether a fault or the end of a grace period excuses a cut run.
+
+        Both nodes count: the one that took the request and the one beside the target.
+        """
+        at = min(run.ended, exchange.ended_at)
+        for disturbance in self.disturbances:
+            if disturbance.node not in (exchange.node, run.node):
+                continue
+            if disturbance.breaks_runs and _overlaps(
+                disturbance, exchange.sent_at, exchange.ended_at
+            ):
+                return True
+            if (
+                disturbance.kind == STOP
+                and exchange.sent_at <= disturbance.began + TAKING_S
+                and disturbance.is_last_part(at)
+            ):
+                return True
+        return False
 
     def _is_excused(self, exchange: Exchange, runs: int) -> bool:
         disturbances = _find_disturbances(
@@ -126,9 +243,9 @@
 ) -> Iterable[Disturbance]:
     """Return the disturbances that affect a node and overlap a span of time."""
     for disturbance in disturbances:
-        if (
-            disturbance.node in ("", node)
-            and disturbance.began <= until
-            and disturbance.ended >= since
-        ):
+        if disturbance.node in ("", node) and _overlaps(disturbance, since, until):
             yield disturbance
+
+
+def _overlaps(disturbance: Disturbance, since: float, until: float) -> bool:
+    return disturbance.began <= until and disturbance.ended >= since
--- a/src/pimentoscale_bench/soak/run.py
+++ b/src/pimentoscale_bench/soak/run.py
@@ -11,7 +11,7 @@
 
 from pimentoscale.http import IncompleteResponseError, NotConnectedError
 from pimentoscale_bench.soak.callers import SoakCaller, send_once
-from pimentoscale_bench.soak.deployment import SoakDeployment
+from pimentoscale_bench.soak.deployment import SoakDeployment, SoakNode
 from pimentoscale_bench.soak.faults import FAULTS, FaultContext
 
 CALLERS_PER_NODE = 2
@@ -58,7 +58,7 @@
         self._rng = random.Random(seed)
         subnet = random.Random(time.time_ns()).choice(SUBNETS)
         self._deployment = SoakDeployment(
-            folder=folder, subnet=subnet, node_count=processes
+            folder=folder, seed=seed, subnet=subnet, node_count=processes
         )
         self._timeline: list[str] = []
 
@@ -130,23 +130,27 @@
     async def _check_recovery(self) -> None:
         loop = asyncio.get_running_loop()
         end = loop.time() + RECOVERY_S
-        for node in self._deployment.nodes:
-            for route in BASE_ROUTES:
-                status = 0
-                while status != 200 and loop.time() < end:
-                    try:
-                        address = node.get_address("callers_relay")
-                        response = await send_once(address, f"/{route}/{loop.time()}")
-                        status = response.status
-                    except SEND_ERRORS as error:
-                        self._timeline.append(f"{node.name} {route}: {error!r}")
-                    if status != 200:
-                        await asyncio.sleep(POLL_S)
+        checks = [self._check_node(node, end) for node in self._deployment.nodes]
+        await asyncio.gather(*checks)
+
+    async def _check_node(self, node: SoakNode, end: float) -> None:
+        loop = asyncio.get_running_loop()
+        for route in BASE_ROUTES:
+            status = 0
+            while status != 200 and loop.time() < end:
+                try:
+                    address = node.get_address("callers_relay")
+                    response = await send_once(address, f"/{route}/{loop.time()}")
+                    status = response.status
+                except SEND_ERRORS as error:
+                    self._timeline.append(f"{node.name} {route}: {error!r}")
                 if status != 200:
-                    self._deployment.record.breaches.append(
-                        f"{node.name} does not serve route {route} within "
-                        f"{RECOVERY_S} s after the last fault"
-                    )
+                    await asyncio.sleep(POLL_S)
+            if status != 200:
+                self._deployment.record.breaches.append(
+                    f"{node.name} does not serve route {route} within "
+                    f"{RECOVERY_S} s after the last fault"
+                )
 
     def _store_results(self, report: SoakReport) -> None:
         """Write time line and report if there were breaches, else delete the folder."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,13 +6,19 @@
 import pytest
 
 from pimentoscale_bench.soak.faults import FAULTS
-from pimentoscale_bench.soak.record import STOP, Disturbance, Exchange, SoakRecord
+from pimentoscale_bench.soak.record import (
+    STOP,
+    Disturbance,
+    Exchange,
+    Run,
+    SoakRecord,
+)
 from pimentoscale_bench.soak.run import SoakRun
 
 # These runs check the guarantees, not the latency.
 SECONDS = 20.0
 # Faults that restart or hold up nodes while targets state limits and leave.
-RESTARTS = ["limit", "limit", "drain", "kill", "terminate", "pause"]
+RESTARTS = ["limit", "limit", "drain", "leave", "roll", "kill", "terminate", "pause"]
 
 
 def make_exchange(**changes: object) -> Exchange:
@@ -21,6 +27,7 @@
         "node": "n",
         "is_idempotent": True,
         "sent_at": 10.0,
+        "deadline": 12.0,
         "ended_at": 11.0,
         "status": 200,
     }
@@ -77,6 +84,86 @@
     assert len(find_breaches(lost, runs=runs, disturbances=[fault])) == breaches
 
 
+def make_stop(node: str, began: float) -> Disturbance:
+    return Disturbance(node=node, kind=STOP, began=began, grace_s=6.0)
+
+
+@pytest.mark.parametrize(
+    ("exchange", "run", "breaches"),
+    [
+        ({"status": 502}, {}, 1),
+        ({"status": 504}, {}, 1),
+        ({"status": 500}, {}, 1),
+        ({"status": 500, "is_signed": True}, {}, 0),
+        # The run has ended, and its answer was lost.
+        ({"status": 502}, {"was_cut": False}, 0),
+        ({"status": 502}, {"was_cut": False, "ended": 11.2}, 1),
+        ({"status": 504, "ended_at": 12.0}, {}, 0),
+    ],
+)
+def test_request_that_is_given_up_is_found(
+    exchange: dict[str, object], run: dict[str, object], breaches: int
+) -> None:
+    fields: dict[str, object] = {"began": 10.1, "ended": 10.9, "was_cut": True}
+    cut = Run(node="m", **{**fields, **run})  # type: ignore[arg-type]
+    record = SoakRecord(exchanges=[make_exchange(**exchange)])
+    record.timed_runs["x"].append(cut)
+    assert len(record.find_breaches()) == breaches
+
+
+@pytest.mark.parametrize(
+    ("disturbance", "breaches"),
+    [
+        (Disturbance(node="m", kind="kill", began=10.5, breaks_runs=True), 0),
+        (Disturbance(node="n", kind="pause", began=10.5, breaks_runs=True), 0),
+        (Disturbance(node="o", kind="kill", began=10.5, breaks_runs=True), 1),
+        (Disturbance(node="m", kind="kill", began=11.5, breaks_runs=True), 1),
+        (
+            Disturbance(node="m", kind="kill", began=9.0, ended=9.5, breaks_runs=True),
+            1,
+        ),
+        (Disturbance(node="m", kind="cut_store", began=10.5), 1),
+        # The request is cut at 10.9, and the last sixth of a grace period is its last
+        # second.
+        (make_stop("n", 5.8), 1),
+        (make_stop("n", 10.2), 1),
+        (make_stop("n", 6.0), 1),
+        (make_stop("n", 2.0), 1),
+    ],
+)
+def test_given_up_request_is_excused_only_by_a_fault_that_can_cause_it(
+    disturbance: Disturbance, breaches: int
+) -> None:
+    record = SoakRecord(
+        exchanges=[make_exchange(status=502)], disturbances=[disturbance]
+    )
+    run = Run(node="m", began=10.1, ended=10.9, was_cut=True)
+    record.timed_runs["x"].append(run)
+    assert len(record.find_breaches()) == breaches
+
+
+@pytest.mark.parametrize("node", ["n", "m"])
+@pytest.mark.parametrize(
+    ("sent_at", "cut_at", "breaches"),
+    [
+        (7.9, 9.9, 1),
+        (7.9, 10.1, 0),
+        (8.1, 10.1, 1),
+        (7.9, 12.1, 1),
+    ],
+)
+def test_stopping_node_gives_up_only_in_the_last_sixth_of_its_grace_period(
+    node: str, sent_at: float, cut_at: float, breaches: int
+) -> None:
+    exchange = make_exchange(
+        sent_at=sent_at, ended_at=cut_at, deadline=13.0, status=504
+    )
+    record = SoakRecord(exchanges=[exchange], disturbances=[make_stop(node, 5.0)])
+    run = Run(node="m", began=sent_at, ended=cut_at, was_cut=True)
+    record.timed_runs["x"].append(run)
+    assert len(record.find_breaches()) == breaches
+
+
 def test_fault_in_progress_counts_as_a_disturbance() -> None:
     async def run() -> None:
         record = SoakRecord()
