--- a/src/pimentoscale_bench/soak/run.py
+++ b/src/pimentoscale_bench/soak/run.py
@@ -4,6 +4,7 @@
 import json
 import random
 import shutil
+import socket
 import time
 from collections import Counter
 from dataclasses import asdict, dataclass, field
@@ -21,9 +22,10 @@
 # users' bound).
 RECOVERY_S = 15.0
 POLL_S = 0.2
-# Each run draws the second byte of its loopback addresses, so that concurrent runs are
-# unlikely to share addresses.
+# Each run draws the second byte of its loopback addresses, and listens on a port of
+# them while it runs, so that concurrent runs share no addresses.
 SUBNETS = range(20, 120)
+RESERVED_PORT = 7699
 SEND_ERRORS = (IncompleteResponseError, NotConnectedError, TimeoutError)
 BASE_ROUTES = ("a", "b", "c", "once")
 
@@ -47,7 +49,15 @@
 class SoakRun:
     """One seeded run; its folder with logs and time line is kept after breaches."""
 
-    __slots__ = ("_deployment", "_folder", "_rng", "_seconds", "_seed", "_timeline")
+    __slots__ = (
+        "_deployment",
+        "_folder",
+        "_reservation",
+        "_rng",
+        "_seconds",
+        "_seed",
+        "_timeline",
+    )
 
     def __init__(
         self, *, seed: int, seconds: float, processes: int, folder: Path
@@ -56,7 +66,7 @@
         self._seconds = seconds
         self._folder = folder
         self._rng = random.Random(seed)
-        subnet = random.Random(time.time_ns()).choice(SUBNETS)
+        subnet, self._reservation = _reserve_subnet(random.Random(time.time_ns()))
         self._deployment = SoakDeployment(
             folder=folder, seed=seed, subnet=subnet, node_count=processes
         )
@@ -75,6 +85,7 @@
             await self._check_recovery()
         finally:
             self._deployment.stop()
+            self._reservation.close()
         record = self._deployment.record
         report.breaches = record.find_breaches()
         report.requests = len(record.exchanges)
@@ -160,3 +171,20 @@
         report.folder = str(self._folder)
         (self._folder / "timeline.txt").write_text("\n".join(self._timeline) + "\n")
         (self._folder / "report.json").write_text(json.dumps(asdict(report), indent=1))
+
+
+def _reserve_subnet(rng: random.Random) -> tuple[int, socket.socket]:
+    """Return a subnet that no other run uses, and the socket that reserves it.
+
+    Raises `OSError` if all are in use.
+    """
+    for subnet in rng.sample(SUBNETS, len(SUBNETS)):
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"127.{subnet}.0.1", RESERVED_PORT))
+        except OSError:
+            reservation.close()
+            continue
+        reservation.listen()
+        return subnet, reservation
+    raise OSError("all subnets of the soak are in use")
