--- a/src/pimentoscale/programs/node.py
+++ b/src/pimentoscale/programs/node.py
@@ -65,7 +65,7 @@
 
 
 async def serve(settings: NodeSettings) -> None:
-    """Serve until a signal or a drain request, and then until all calls have ended."""
+    """Run a node until a signal or a drain request has stopped it."""
     loop = asyncio.get_running_loop()
     algorithms = get_policy(settings.policy)
     assert algorithms is not None
@@ -75,6 +75,14 @@
         rng=random.Random(),
         now=loop.time(),
     )
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, node.drain)
+    await serve_node(node)
+
+
+async def serve_node(node: Node) -> None:
+    """Serve until the node is drained, and then until all calls have ended."""
+    settings = node.state.settings
     config = uvicorn.Config(
         make_application(node),
         host=settings.http.host,
@@ -92,8 +100,6 @@
         timeout_keep_alive=60,
     )
     server = _Server(config)
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, node.drain)
     await node.start()
     configure_garbage_collector()
     server_task = asyncio.create_task(server.serve())
