Keep the connection of a call until its answer, whatever happens to its member

What callers saw: peer_lost for calls at which their target was at work: when its node was announced as gone though it ran, when its instance was announced with a new incarnation, and when the connection was idle by the time of its last opening. The target's node cancelled the run.

Cause: PeerPool.close, PeerPool.open and PeerPool.close_idle stopped the peer, with the calls on it.

Change: the peer is retired, as by the links of the platform's interface. It takes no new call and closes after the last answer; close_all ends those that are left. A connection with calls in progress is not idle.

--- a/src/pimentoscale/peering/peers.py
+++ b/src/pimentoscale/peering/peers.py
@@ -50,6 +50,9 @@
 class PeerPool:
     """Opens and keeps one connection for each node and traffic class in use.
 
+    A connection that is replaced or no longer needed is retired: it closes once the
+    calls in progress on it are answered.
+
     Other parts append their callbacks to the lists of watchers. The three `get_`
     callbacks supply the fields of the heartbeats that this node sends.
     """
@@ -58,6 +61,8 @@
         self._state = state
         self._replica = replica
         self._peers: dict[PeerKey, Peer] = {}
+        # Connections that still wait for answers, but take no new calls.
+        self._retired: set[Peer] = set()
         self._incarnations: dict[PeerKey, int] = {}
         self._up_events: dict[PeerKey, asyncio.Event] = {}
         self._used_at: dict[PeerKey, float] = {}
@@ -103,7 +108,7 @@
         if peer is not None and self._incarnations[key] == member.incarnation:
             return peer
         if peer is not None:
-            peer.stop()
+            self._retire(key)
         address = self._state.settings.addresses.get(member.instance, member.stream)
         self._incarnations[key] = member.incarnation
         return self._start(key, address)
@@ -133,11 +138,13 @@
         return peer
 
     def close(self, instance: str) -> None:
-        """Close the connections to a member that is gone."""
+        """Close the connections to a member that is gone, once they are not in use.
+
+        A member may be announced as gone by mistake, while it runs calls.
+        """
         for traffic_class in TrafficClass:
-            peer = self._peers.pop((instance, traffic_class), None)
-            if peer is not None:
-                peer.stop()
+            if (instance, traffic_class) in self._peers:
+                self._retire((instance, traffic_class))
 
     def close_idle(self, *, now: float) -> int:
         """Close connections for calls that were idle for `IDLE_TIMEOUT_S`.
@@ -151,17 +158,16 @@
             for key, peer in self._peers.items()
             if key[1] is not TrafficClass.CONTROL
             and peer.is_up
+            and not peer.in_progress
             and now - self._used_at[key] > IDLE_TIMEOUT_S
         ]
         for key in idle:
-            # Remove it before closing it: otherwise on_down would report the target
-            # as lost, although only the connection was closed.
-            self._peers.pop(key).stop()
+            self._retire(key)
         return len(idle)
 
     def close_all(self) -> None:
         """Close all connections."""
-        for peer in self._peers.values():
+        for peer in [*self._peers.values(), *self._retired]:
             peer.stop()
 
     def count_up(self) -> int:
@@ -216,6 +222,7 @@
 
     def on_down(self, *, peer: Peer) -> None:
         """Record that the connection to a peer was lost."""
+        self._retired.discard(peer)
         self._state.record(EventName.PEER_DOWN, detail=str(peer.address))
         for key, candidate in self._peers.items():
             if candidate is peer:
@@ -230,6 +237,15 @@
                 return instance
         return None
 
+    def _retire(self, key: PeerKey) -> None:
+        # Remove it before closing it: otherwise on_down would report the target as
+        # lost, although only the connection was closed.
+        peer = self._peers.pop(key)
+        if peer.in_progress:
+            self._retired.add(peer)
+            log.info("stream to %s kept for %d calls", key[0], peer.in_progress)
+        peer.retire()
+
     def _start(self, key: PeerKey, address: Address) -> Peer:
         peer = Peer(address=address, hello=self.build_hello, observer=self)
         self._peers[key] = peer
