Let work that must not run twice wait through a silence, on both sides of a stream

What callers saw: peer_lost for a non-idempotent call after 2 s without a frame from the target's node, though the target was at work and its answer was on its way a moment later; and, if the caller's node was the silent one, the run was cancelled at the target, safe or not.

Cause: Acceptor.close_silent and Peer.call knew one time-out for all silences, unlike the platform's interface (SILENT_WORK_TIMEOUT_S).

Change: the rule is that of the platform's interface. A call of a non-idempotent kind to its target waits up to SILENT_WORK_TIMEOUT_S, as Peer.query does for such requests; an idempotent one is cancelled at once and may run elsewhere. The side that runs calls keeps a silent stream as long. A submission that is handed on to its home is given up after 2 s as before: its witness decides then, the run goes on at the home, and the same ticket gets its answer.

--- a/src/pimentoscale/dispatch/router.py
+++ b/src/pimentoscale/dispatch/router.py
@@ -277,7 +277,9 @@
             clock=self._state.tick(),
         )
         async with asyncio.timeout_at(context.deadline + ANSWER_MARGIN_S):
-            reply, body = await peer.call(frame, request.body)
+            reply, body = await peer.call(
+                frame, request.body, waits_in_silence=not routed.kind.idempotent
+            )
         self._state.observe(reply.clock)
         load = Load(
             in_flight=reply.in_flight,
--- a/src/pimentoscale/peering/acceptor.py
+++ b/src/pimentoscale/peering/acceptor.py
@@ -39,7 +39,7 @@
     SlowCall,
     Verdict,
 )
-from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
+from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S, SILENT_WORK_TIMEOUT_S
 from pimentoscale.stream.transfer import BodyReceiver, BodySender
 from pimentoscale.ticket import WitnessVerdict
 
@@ -123,14 +123,18 @@
     def close_silent(self, *, now: float, was_paused: bool) -> None:
         """Close streams that received nothing for `HEARTBEAT_TIMEOUT_S`.
 
-        After a pause of this process the time-out starts again, since the pause itself
-        kept it from reading what was sent.
+        One whose calls still run is kept up to `SILENT_WORK_TIMEOUT_S`: its sender may
+        only be paused, and may get their answers yet. After a pause of this process the
+        time-out starts again, since the pause itself kept it from reading what was
+        sent.
         """
         for session in list(self._sessions):
             connection = session.connection
+            is_working = bool(session.active_calls)
+            limit_s = SILENT_WORK_TIMEOUT_S if is_working else HEARTBEAT_TIMEOUT_S
             if was_paused:
                 connection.last_received_at = now
-            elif now - connection.last_received_at > HEARTBEAT_TIMEOUT_S:
+            elif now - connection.last_received_at > limit_s:
                 log.info(
                     "nothing received from %s in time; stream closed",
                     session.remote.instance,
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -35,8 +35,9 @@
 CONNECT_TIMEOUT_S = 1.0
 HEARTBEAT_PERIOD_S = 0.5
 HEARTBEAT_TIMEOUT_S = 2.0
-# A silent connection is kept for this long while queries wait for their answers that
-# must not be sent again: the other side may only be paused, or cut off for a moment.
+# A silent connection is kept for this long while calls or queries that must not be sent
+# again wait for their answers: the other side may only be paused, or cut off for a
+# moment.
 SILENT_WORK_TIMEOUT_S = 8.0
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 2.0
@@ -104,8 +105,8 @@
 
     A retired peer takes no more calls and queries, and closes after the last answer.
     Without a frame for `HEARTBEAT_TIMEOUT_S` the peer is down. Its connection is closed
-    then, unless queries wait on it that were sent with `waits_in_silence`: those are
-    answered if the other side comes back.
+    then, unless calls or queries wait on it that were sent with `waits_in_silence`:
+    those are answered if the other side comes back.
     """
 
     def __init__(
@@ -125,7 +126,7 @@
         self._numbers = itertools.count(1)
         self._calls: dict[int, _PendingCall] = {}
         self._queries: dict[int, asyncio.Future[Frame]] = {}
-        # Numbers of the queries that wait for their answer through a silence.
+        # Numbers of the calls and queries that wait for their answer through a silence.
         self._patient: set[int] = set()
         self._is_silent = False
         self._is_retired = False
@@ -166,11 +167,14 @@
         """Return how many calls and queries wait for their answers."""
         return len(self._calls) + len(self._queries)
 
-    async def call(self, frame: Call, remainder: Body) -> tuple[Reply, Body]:
+    async def call(
+        self, frame: Call, remainder: Body, *, waits_in_silence: bool = False
+    ) -> tuple[Reply, Body]:
         """Send a call and return its answer.
 
         `remainder` is the body after the part in the frame; it is sent if `frame.more`.
-        Raises `PeerUnreachableError` (not sent), `PeerLostError` (sent, no answer), or
+        With `waits_in_silence` it also waits while the other side is silent. Raises
+        `PeerUnreachableError` (not sent), `PeerLostError` (sent, no answer), or
         `BodyTruncatedError` if the body of the request ends early.
         """
         connection = self._get_connection()
@@ -179,6 +183,8 @@
         loop = asyncio.get_running_loop()
         pending = _PendingCall(reply=loop.create_future())
         self._calls[number] = pending
+        if waits_in_silence:
+            self._patient.add(number)
         connection.send(frame)
         try:
             if frame.more:
@@ -187,7 +193,7 @@
                 )
             return await pending.reply
         except BaseException:
-            self._calls.pop(number, None)
+            self._end_call(number)
             if connection.is_open:
                 connection.send(Cancel(call=number))
             self._close_if_unused()
@@ -299,7 +305,7 @@
         """Send heartbeats periodically.
 
         Raises `TimeoutError` once nothing has been received for `HEARTBEAT_TIMEOUT_S`,
-        or for `SILENT_WORK_TIMEOUT_S` while queries wait through the silence.
+        or for `SILENT_WORK_TIMEOUT_S` while calls or queries wait through the silence.
         """
         loop = asyncio.get_running_loop()
         connection.last_received_at = loop.time()
@@ -319,8 +325,14 @@
                 self._observer.on_up(remote=remote, peer=self)
 
     def _handle_silence(self, silent_s: float) -> None:
-        """Fail the queries that do not wait; raise `TimeoutError` if none is left."""
+        """Fail all that does not wait; raise `TimeoutError` if nothing is left."""
         lost = PeerLostError(f"{self.address}: nothing received for {silent_s:.1f} s")
+        for number, pending in list(self._calls.items()):
+            if number not in self._patient:
+                self._fail_call(pending, lost)
+                self._end_call(number)
+                if self._connection is not None:
+                    self._connection.send(Cancel(call=number))
         for number, answer in self._queries.items():
             if number not in self._patient and not answer.done():
                 answer.set_exception(lost)
@@ -329,7 +341,7 @@
         if not self._is_silent:
             self._is_silent = True
             log.info(
-                "%s is silent; %d queries wait for their answers",
+                "%s is silent; %d requests wait for their answers",
                 self.address,
                 len(self._patient),
             )
@@ -375,7 +387,7 @@
             )
             pending.reply.set_result((frame, pending.receiver.body))
             return
-        del self._calls[frame.call]
+        self._end_call(frame.call)
         body = Body.of(frame.body)
         if digest_bytes(frame.body) != frame.digest:
             body = Body()
@@ -388,9 +400,13 @@
         if pending is None or pending.receiver is None:
             self.dropped_frames += 1
         elif pending.receiver.add_chunk(frame):
-            del self._calls[frame.call]
+            self._end_call(frame.call)
             self._close_if_unused()
 
+    def _end_call(self, number: int) -> None:
+        self._calls.pop(number, None)
+        self._patient.discard(number)
+
     def _handle_credit(self, frame: Credit) -> None:
         pending = self._calls.get(frame.call)
         if pending is not None and pending.sender is not None:
@@ -422,17 +438,21 @@
         was_silent, self._is_silent = self._is_silent, False
         lost = PeerLostError(str(self.address))
         calls, self._calls = self._calls, {}
-        for pending in calls.values():
-            if not pending.reply.done():
-                pending.reply.set_exception(lost)
-            elif pending.receiver is not None:
-                pending.receiver.body.fail("the peer was lost")
+        for number, pending in calls.items():
+            self._fail_call(pending, lost)
+            self._patient.discard(number)
         for answer in self._queries.values():
             if not answer.done():
                 answer.set_exception(lost)
         if not was_silent:
             self._observer.on_down(peer=self)
 
+    def _fail_call(self, pending: _PendingCall, lost: PeerLostError) -> None:
+        if not pending.reply.done():
+            pending.reply.set_exception(lost)
+        elif pending.receiver is not None:
+            pending.receiver.body.fail("the peer was lost")
+
 
 def _time_out(answer: "asyncio.Future[Frame]") -> None:
     if not answer.done():
--- a/tests/test_node_stopping.py
+++ b/tests/test_node_stopping.py
@@ -8,7 +8,8 @@
 import pytest
 
 from pimentoscale.membership import MemberState
-from pimentoscale.peering.peers import IDLE_TIMEOUT_S
+from pimentoscale.peering.peers import IDLE_TIMEOUT_S, TrafficClass
+from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
 from tests.nodes import RunningNode, Site, get_ticket, run_site, send
 from tests.sidecars import wait_until
 
@@ -105,3 +106,44 @@
         await wait_until(lambda: target.node._acceptor.in_progress == 0)
 
     run_scenario(scenario)
+
+
+def test_unsafe_call_waits_while_its_target_is_silent() -> None:
+    async def scenario(site: Site) -> None:
+        target = site.nodes["b0"]
+        acceptor = target.node._acceptor
+        sending = await start_call(site, "write", run_s=HEARTBEAT_TIMEOUT_S + 1.5)
+        acceptor._handle_heartbeat = (  # type: ignore[method-assign]
+            lambda session, frame: None
+        )
+        check_answered(await sending, target)
+
+    run_scenario(scenario)
+
+
+def test_safe_call_is_given_up_while_its_target_is_silent() -> None:
+    async def scenario(site: Site) -> None:
+        acceptor = site.nodes["b0"].node._acceptor
+        sending = await start_call(site, "read", run_s=None)
+        acceptor._handle_heartbeat = (  # type: ignore[method-assign]
+            lambda session, frame: None
+        )
+        response = await sending
+        assert response.headers["pimento-error"] == "peer_lost"
+        assert response.headers["pimento-outcome"] == "failed"
+        cancelled = site.nodes["b0"].upstream.cancelled
+        await wait_until(lambda: cancelled == {"x"})
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_target_does_not_break_off_a_call_of_a_silent_node(kind: str) -> None:
+    async def scenario(site: Site) -> None:
+        entry, target = site.nodes["f0"], site.nodes["b0"]
+        sending = await start_call(site, kind, run_s=HEARTBEAT_TIMEOUT_S + 1.5)
+        peer = entry.node._peers.open(target.member, TrafficClass.SHORT)
+        peer._heartbeat_period_s = 60.0
+        check_answered(await sending, target)
+
+    run_scenario(scenario)
