Take, answer and end by the shared rule while a node stops

What callers saw: no answer to a call that outlasted the grace period, since the process was killed while it waited; a cut stream for the calls of other nodes; targets that were given more time than their nodes had left; a stop of 2 s with a grace period of 1 s; a run that was cut with its home, once its sender had left.

Cause: the node waited for its HTTP calls without limit, closed its streams with calls on them at the end of the grace period, and had no limit on what it took and passed on.

Change: pimentoscale.shutdown decides. A call is taken if it is expected to end before the answers are due, a sub-call always; no more time than that is passed on. What is still in progress then is answered 504, unknown or failed if this node has handed it over, else refused; a ticket may have run before, so it is never refused. The node ends once it owes no answer, those in the buffers of its HTTP server and its streams included, and each answer of a stopping node closes its connection.

--- a/src/pimentoscale/call/context.py
+++ b/src/pimentoscale/call/context.py
@@ -14,7 +14,8 @@
 
     `deadline` is on this process's monotonic clock, in seconds. `depth` is 0 for a
     root call. `work_ms` is the upstream time in milliseconds that was spent on the
-    root call before this call.
+    root call before this call. `may_have_run` is set once this node hands the call
+    over, so that it must not be called refused any more.
     """
 
     request: str
@@ -26,6 +27,7 @@
     work_ms: int
     version: int
     sub_calls: int = 0
+    may_have_run: bool = False
 
     def time_left(self, *, now: float) -> float:
         """Return the seconds until the deadline; negative if it has passed."""
--- a/src/pimentoscale/dispatch/router.py
+++ b/src/pimentoscale/dispatch/router.py
@@ -106,6 +106,10 @@
             )
             await asyncio.sleep(MAX_RETRY_DELAY_S * self._rng.random())
 
+    def get_average_s(self, kind: str) -> float:
+        """Return the average latency of a kind in seconds; 0 without answers."""
+        return self._selector.get_average_ms(kind) / 1000
+
     def _make_final_answer(self, routed: _RoutedCall, answer: Answer) -> Answer:
         """Return the last answer, or the error of an attempt that may have run.
 
@@ -131,6 +135,9 @@
 
     async def _attempt(self, routed: _RoutedCall) -> Answer:
         routed.attempts += 1
+        context = routed.context
+        # The node may have begun to stop since the call came.
+        context.deadline = self._state.shutdown.limit_deadline(context.deadline)
         now = asyncio.get_running_loop().time()
         target = self._selector.choose(
             routed.context, routed.kind, routed.attempted, now=now
@@ -276,6 +283,7 @@
             now=loop.time(),
             clock=self._state.tick(),
         )
+        context.may_have_run = True
         async with asyncio.timeout_at(context.deadline + ANSWER_MARGIN_S):
             reply, body = await peer.call(
                 frame, request.body, waits_in_silence=not routed.kind.idempotent
--- a/src/pimentoscale/dispatch/runner.py
+++ b/src/pimentoscale/dispatch/runner.py
@@ -169,6 +169,9 @@
         token = self.contexts.add(context=context)
         started = asyncio.get_running_loop().time()
         timer = self._start_late_timer(context.kind)
+        # The node may have begun to stop while the call was queued.
+        context.deadline = self._state.shutdown.limit_deadline(context.deadline)
+        context.may_have_run = True
         try:
             async with asyncio.timeout_at(context.deadline):
                 answer = await self._pool.send(
--- a/src/pimentoscale/dispatch/selection.py
+++ b/src/pimentoscale/dispatch/selection.py
@@ -52,6 +52,10 @@
         """
         return self._latencies.get_late_ms(kind)
 
+    def get_average_ms(self, kind: str) -> float:
+        """Return the average latency of a kind in milliseconds; 0 without answers."""
+        return self._latencies.get_average_ms(kind)
+
     def update_member(self, member: Member) -> None:
         """Update the targets from the announcement of a member."""
         targets = self._services.setdefault(member.service, Targets())
--- a/src/pimentoscale/dispatch/submission.py
+++ b/src/pimentoscale/dispatch/submission.py
@@ -86,6 +86,11 @@
         self._witness_service = witness_service
         self._runs: set[asyncio.Future[Any]] = set()
 
+    @property
+    def in_progress(self) -> int:
+        """Return the number of runs that go on, whether or not a caller waits."""
+        return len(self._runs)
+
     def issue_ticket(
         self, *, request: str, caller: str, kind: str, excluded: str = ""
     ) -> str:
@@ -114,6 +119,8 @@
         request: CallRequest,
     ) -> Answer:
         """Run a call under a ticket at most once, through the ticket's home."""
+        # An earlier submission may have run, and a run goes on without its caller.
+        context.may_have_run = True
         body = request.body.take_buffered() if request.body.is_complete else None
         for _ in range(MAX_REPLACEMENTS):
             repeated = request if body is None else request.with_body(body)
@@ -136,6 +143,7 @@
         Its parent runs at most once and only on this node's upstream. So this process
         is always the home of the sub-call, and no witness is needed.
         """
+        context.may_have_run = True
         key = f"{context.caller}|{context.request}"
         entry = self._home.find(key=key)
         if entry is not None:
--- a/src/pimentoscale/ingress/endpoint.py
+++ b/src/pimentoscale/ingress/endpoint.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from pimentoscale.call import Answer, Body, BodyTruncatedError, CallRequest
+from pimentoscale.dispatch.stopping import refuse_for_stop
 from pimentoscale.errors import ANSWERS, CallError, ErrorKind
 from pimentoscale.ingress.entry import CallEntry
 from pimentoscale.ingress.head import CallHead, read_head, write_head
@@ -54,7 +55,12 @@
             error = CallError(kind=ErrorKind.BODY_TOO_LARGE)
             await self._write(Answer.of_error(error), send)
             return
-        first = await receive()
+        try:
+            async with self._state.time_limits.limit():
+                first = await receive()
+        except TimeoutError:
+            await self._write(refuse_for_stop(has_ticket=bool(head.ticket)), send)
+            return
         if first["type"] != "http.request":
             return
         if not first.get("more_body"):
@@ -124,6 +130,8 @@
         )
         if length >= 0:
             headers.append((b"content-length", b"%d" % length))
+        if self._state.shutdown.has_begun:
+            headers.append((b"connection", b"close"))
         start = {
             "type": "http.response.start",
             "status": answer.status,
--- a/src/pimentoscale/ingress/entry.py
+++ b/src/pimentoscale/ingress/entry.py
@@ -12,6 +12,7 @@
 from pimentoscale.configuration import Kind
 from pimentoscale.dispatch.router import Router
 from pimentoscale.dispatch.runner import UpstreamRunner
+from pimentoscale.dispatch.stopping import refuse_for_stop, run_until_stop
 from pimentoscale.dispatch.submission import Submissions
 from pimentoscale.errors import CallError, ErrorKind
 from pimentoscale.ingress.head import CallHead
@@ -58,13 +59,16 @@
         self, head: CallHead, kind: Kind, request: CallRequest, now: float
     ) -> Answer:
         context = self._make_root_context(head, kind, now)
+        expected_s = self._router.get_average_s(head.kind)
+        if not self._state.shutdown.may_take(expected_s=expected_s, now=now):
+            answer = refuse_for_stop(has_ticket=bool(head.ticket))
+            self._record_end(context, answer, now)
+            return answer
         self._state.record(
             EventName.CALL_ENTERED, request=context.request, kind=context.kind
         )
-        if kind.idempotent:
-            answer = await self._router.run(context, kind, request)
-        elif head.ticket:
-            answer = await self._submissions.submit(head.ticket, context, kind, request)
+        if kind.idempotent or head.ticket:
+            answer = await self._run_root(head, context, kind, request)
         else:
             answer = self._require_ticket(head)
         if head.want_ticket and not answer.ticket:
@@ -74,6 +78,15 @@
         self._record_end(context, answer, now)
         return answer
 
+    async def _run_root(
+        self, head: CallHead, context: CallContext, kind: Kind, request: CallRequest
+    ) -> Answer:
+        if kind.idempotent:
+            run = self._router.run(context, kind, request)
+        else:
+            run = self._submissions.submit(head.ticket, context, kind, request)
+        return await run_until_stop(run, state=self._state, context=context, kind=kind)
+
     async def _handle_sub_call(
         self, head: CallHead, kind: Kind, request: CallRequest, now: float
     ) -> Answer:
@@ -85,7 +98,7 @@
         context = parent.derive(
             kind=head.kind,
             name=head.sub_call or ("" if kind.idempotent else head.kind),
-            deadline=now + timeout_ms / 1000,
+            deadline=self._state.shutdown.limit_deadline(now + timeout_ms / 1000),
             work_ms=parent.work_ms,
         )
         allocated = context.budget.remaining
@@ -94,9 +107,12 @@
         )
         try:
             if kind.idempotent:
-                answer = await self._router.run(context, kind, request)
+                run = self._router.run(context, kind, request)
             else:
-                answer = await self._submissions.run_sub_call(context, kind, request)
+                run = self._submissions.run_sub_call(context, kind, request)
+            answer = await run_until_stop(
+                run, state=self._state, context=context, kind=kind
+            )
         finally:
             parent.budget.reclaim(allocated=allocated, spent=context.budget.close())
         parent.work_ms += int(1000 * (asyncio.get_running_loop().time() - now))
@@ -117,7 +133,7 @@
             request=head.request,
             caller=head.caller,
             kind=head.kind,
-            deadline=now + timeout_ms / 1000,
+            deadline=self._state.shutdown.limit_deadline(now + timeout_ms / 1000),
             budget=budget,
             depth=0,
             work_ms=0,
--- a/src/pimentoscale/node/node.py
+++ b/src/pimentoscale/node/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -41,7 +42,11 @@
 from pimentoscale.ticket import NodeIdentity, TicketIssuer
 from pimentoscale.timeline import EventName, HybridClock, Timeline
 
+# The least time that a stop takes, in which the announcement reaches the other nodes.
+# It is shorter in proportion if the grace period is shorter than `FULL_GRACE_S`.
 DRAIN_NOTICE_S = 2.0
+FULL_GRACE_S = 6.0
+STOP_POLL_S = 0.05
 CLEANUP_EVERY_TICKS = 50
 UPSTREAM_DRAINING = "draining"
 
@@ -126,6 +131,8 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._stopped = asyncio.Event()
+        # Returns how many answers the HTTP server has not sent whole.
+        self.count_http_owed: Callable[[], int] = lambda: 0
         self._wire()
 
     async def start(self) -> None:
@@ -142,10 +149,16 @@
         )
 
     def drain(self) -> None:
-        """Refuse new work, announce it, and stop once all calls have ended."""
+        """Refuse new work, announce it, and stop once no answer is owed."""
         if self.state.is_draining:
             return
         log.info("draining")
+        shutdown = self.state.shutdown
+        shutdown.begin(
+            grace_s=self.state.settings.stop_grace_s,
+            now=asyncio.get_running_loop().time(),
+        )
+        self.state.time_limits.set_stop(shutdown.answers_due_at)
         self.state.is_draining = True
         own = replace(self.state.own, state=MemberState.DRAINING)
         self._acceptor.announce_draining()
@@ -269,18 +282,36 @@
             await asyncio.sleep(TICK_PERIOD_S)
 
     async def _stop_when_idle(self) -> None:
-        """Stop once no call is in progress, at the latest after the grace period.
-
-        The wait for `DRAIN_NOTICE_S` lets the announcement reach the other nodes.
-        """
+        """Stop once no answer is owed, and before the end of the grace period."""
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + self.state.settings.stop_grace_s
-        await asyncio.sleep(DRAIN_NOTICE_S)
-        while self._count_in_progress() and loop.time() < deadline:
-            await asyncio.sleep(TICK_PERIOD_S)
-        log.info("stopped with %d calls in progress", self._count_in_progress())
+        shutdown = self.state.shutdown
+        scale = min(1.0, self.state.settings.stop_grace_s / FULL_GRACE_S)
+        while True:
+            now = loop.time()
+            owed = self._count_owed(now)
+            if shutdown.may_end(owed=owed, now=now, earliest_s=scale * DRAIN_NOTICE_S):
+                if shutdown.is_closed or owed:
+                    break
+                # A call that has just been read is still answered.
+                shutdown.is_closed = True
+            await asyncio.sleep(min(STOP_POLL_S, max(0.0, shutdown.ends_at - now)))
+        log.info("stopped with %d answers owed", owed)
         self._stopped.set()
 
+    def _count_owed(self, now: float) -> int:
+        """Return how many answers this node owes.
+
+        A call counts once for each part of this node that handles it.
+        """
+        return (
+            self.endpoint.in_progress
+            + self.count_http_owed()
+            + self._acceptor.in_progress
+            + self._acceptor.count_unsent(now=now)
+            + self._runner.in_progress
+            + self._submissions.in_progress
+        )
+
     def _count_in_progress(self) -> int:
         acceptor, runner = self._acceptor.in_progress, self._runner.in_progress
         return max(acceptor, runner) + self.endpoint.in_progress
--- a/src/pimentoscale/node/state.py
+++ b/src/pimentoscale/node/state.py
@@ -1,13 +1,14 @@
 """The state that all parts of a node process share."""
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from pimentoscale.configuration import Configuration, ConfigurationReplica, Kind
 from pimentoscale.membership import Directory, Member, MemberState
 from pimentoscale.metrics import Metrics
 from pimentoscale.policy import PolicyAlgorithms
 from pimentoscale.settings import NodeSettings
+from pimentoscale.shutdown import Shutdown, TimeLimits
 from pimentoscale.ticket import NodeIdentity
 from pimentoscale.timeline import EventName, HybridClock, Timeline
 
@@ -22,7 +23,8 @@
     """Identity, configuration, members, metrics and clock of one node process.
 
     `own` is the node's own announcement. `is_confirmed` is true while the last
-    confirmation of the version in force is within its lease.
+    confirmation of the version in force is within its lease. `time_limits` ends the
+    calls in progress when the node stops.
     """
 
     settings: NodeSettings
@@ -36,6 +38,8 @@
     own: Member
     is_draining: bool = False
     is_confirmed: bool = False
+    shutdown: Shutdown = field(default_factory=Shutdown)
+    time_limits: TimeLimits = field(default_factory=TimeLimits)
 
     @property
     def zone(self) -> str:
--- a/src/pimentoscale/peering/acceptor.py
+++ b/src/pimentoscale/peering/acceptor.py
@@ -13,6 +13,7 @@
     read_request,
 )
 from pimentoscale.dispatch.runner import UpstreamRunner
+from pimentoscale.dispatch.stopping import refuse_for_stop, run_until_stop
 from pimentoscale.dispatch.submission import Submissions
 from pimentoscale.dispatch.witnesses import WitnessService
 from pimentoscale.errors import CallError, ErrorKind
@@ -103,6 +104,14 @@
         """Return the number of calls in progress."""
         return sum(len(session.active_calls) for session in self._sessions)
 
+    def count_unsent(self, *, now: float) -> int:
+        """Return how many streams have answers to send to a node that is in touch."""
+        return sum(
+            session.connection.has_unsent_bytes
+            and now - session.connection.last_received_at < HEARTBEAT_TIMEOUT_S
+            for session in self._sessions
+        )
+
     async def start(self) -> None:
         """Start to listen for streams."""
         address = self._state.settings.stream
@@ -272,14 +281,19 @@
         if kind is None:
             error = CallError(kind=ErrorKind.UNKNOWN_KIND, detail=frame.kind)
             return Answer.of_error(error), 0
+        shutdown = self._state.shutdown
+        if not shutdown.may_take(expected_s=0.0, now=now):
+            return refuse_for_stop(has_ticket=frame.submission), 0
         context = read_context(frame, now=now)
+        context.deadline = shutdown.limit_deadline(context.deadline)
         request = read_request(frame, body)
         if frame.submission:
-            answer = await self._submissions.submit(
-                frame.ticket, context, kind, request
-            )
+            run = self._submissions.submit(frame.ticket, context, kind, request)
         else:
-            answer = await self._runner.run(context, kind, request)
+            run = self._runner.run(context, kind, request)
+        answer = await run_until_stop(
+            run, state=self._state, context=context, kind=kind
+        )
         return answer, context.budget.close()
 
 
--- a/src/pimentoscale/programs/node.py
+++ b/src/pimentoscale/programs/node.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import signal
+import socket
 import sys
 from collections.abc import Iterator
 from pathlib import Path
@@ -16,6 +18,7 @@
 from litestar.datastructures import State
 from litestar.types import ASGIApp, Receive, Scope, Send
 from result import Err, Ok
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from pimentoscale.garbage_collection import configure_garbage_collector
 from pimentoscale.ingress.control import CONTROL_HANDLERS
@@ -27,13 +30,58 @@
 
 EXIT_BAD_SETTINGS = 2
 BACKLOG = 4096
+# Period of uvicorn's periodic work; it counts ten ticks a second.
+TICK_PERIOD_S = 0.1
+CLOSE_POLL_S = 0.01
 
 log = get_logger("node")
 app = cyclopts.App(name="pimento-node", help=__doc__)
 
 
 class _Server(uvicorn.Server):
-    """Uvicorn server that leaves the handling of signals to the node."""
+    """Uvicorn server that leaves the handling of signals and its end to the node."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._stopping = asyncio.Event()
+        self._ends_at = math.inf
+
+    def stop(self, *, ends_at: float) -> None:
+        """Close all connections: those with an answer to send before `ends_at`."""
+        self._ends_at = ends_at
+        self.should_exit = True
+        self._stopping.set()
+
+    def count_owed(self) -> int:
+        """Return on how many connections an answer is not sent whole."""
+        return len(self._list_busy())
+
+    def _list_busy(self) -> list[HttpToolsProtocol]:
+        return [
+            connection
+            for connection in self.server_state.connections
+            if isinstance(connection, HttpToolsProtocol) and _is_busy(connection)
+        ]
+
+    async def main_loop(self) -> None:
+        """Update the default headers until the node has stopped."""
+        counter = 0
+        while not await self.on_tick(counter):
+            counter += 1
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._stopping.wait(), TICK_PERIOD_S)
+
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Close the connections; abort those that are busy at the end of the stop."""
+        loop = asyncio.get_running_loop()
+        for server in self.servers:
+            server.close()
+        for connection in list(self.server_state.connections):
+            connection.shutdown()
+        while self._list_busy() and loop.time() < self._ends_at:
+            await asyncio.sleep(CLOSE_POLL_S)
+        for connection in self._list_busy():
+            connection.transport.abort()
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -41,6 +89,12 @@
         yield
 
 
+def _is_busy(connection: HttpToolsProtocol) -> bool:
+    cycle = connection.cycle
+    is_in_progress = cycle is not None and not cycle.response_complete
+    return is_in_progress or connection.transport.get_write_buffer_size() > 0
+
+
 def make_application(node: Node) -> ASGIApp:
     """Return the ASGI application, which passes calls directly to their endpoint.
 
@@ -100,11 +154,12 @@
         timeout_keep_alive=60,
     )
     server = _Server(config)
+    node.count_http_owed = server.count_owed
     await node.start()
     configure_garbage_collector()
     server_task = asyncio.create_task(server.serve())
     await node.wait_stopped()
-    server.should_exit = True
+    server.stop(ends_at=node.state.shutdown.ends_at)
     await server_task
     node.close()
 
--- a/src/pimentoscale/routing/latency_estimator.py
+++ b/src/pimentoscale/routing/latency_estimator.py
@@ -40,6 +40,11 @@
         )
         estimate.samples += 1
 
+    def get_average_ms(self, kind: str) -> float:
+        """Return the mean latency of a kind in milliseconds; 0 without answers."""
+        estimate = self._estimates.get(kind)
+        return estimate.mean_ms if estimate is not None else 0.0
+
     def get_late_ms(self, kind: str) -> float | None:
         """Return the time in milliseconds after which a call of a kind is late.
 
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import json
+import os
 import random
+import socket
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -20,9 +22,12 @@
 from pimentoscale.node.node import Node
 from pimentoscale.policy import get_policy
 from pimentoscale.programs.node import serve_node
-from pimentoscale.settings import NodeSettings
-from tests.sidecars import HOST, find_address, wait_until
+from pimentoscale.settings import Address, NodeSettings
+from tests.sidecars import wait_until
 
+# A loopback address of this process alone, so that its ports are free.
+HOST = f"127.{2 + os.getpid() // 250 % 200}.{os.getpid() % 250}.1"
+PORTS = iter(range(20_000, 30_000))
 ZONE = "z1"
 SLOTS = 8
 CONFIGURATION: dict[str, Any] = {
@@ -117,26 +122,49 @@
         self.node._overlay.apply_member(member)
 
 
+def find_address() -> Address:
+    """Return an address that was not used before."""
+    return Address(host=HOST, port=next(PORTS))
+
+
+def _bind() -> socket.socket:
+    """Return a socket that keeps its port from others and refuses connections."""
+    sock = socket.socket()
+    sock.bind((HOST, 0))
+    return sock
+
+
 @dataclass(slots=True, kw_only=True)
 class Site:
-    """The nodes of one zone."""
+    """The nodes of one zone, whose store refuses all connections."""
 
     nodes: dict[str, RunningNode] = field(default_factory=dict)
     stopped: list[RunningNode] = field(default_factory=list)
+    store: socket.socket = field(default_factory=_bind)
 
     async def start(
-        self, name: str, service: str, *, grace_s: int = 6, is_known: bool = True
+        self,
+        name: str,
+        service: str,
+        *,
+        grace_s: int = 6,
+        predecessor: NodeSettings | None = None,
     ) -> RunningNode:
-        """Start a node; all others know it as a member unless `is_known` is false."""
+        """Start a node that all others know as a member.
+
+        It has the addresses of its predecessor, if there is one.
+        """
         upstream = StandInUpstream()
         address = find_address()
+        http = predecessor.http if predecessor else find_address()
+        stream = predecessor.stream if predecessor else find_address()
         await upstream.server.start(host=HOST, port=address.port)
         document = {
             "instance": name,
             "zone": ZONE,
-            "http": {"host": HOST, "port": find_address().port},
-            "stream": {"host": HOST, "port": find_address().port},
-            "platform": {"host": HOST, "port": find_address().port},
+            "http": {"host": HOST, "port": http.port},
+            "stream": {"host": HOST, "port": stream.port},
+            "platform": {"host": HOST, "port": self.store.getsockname()[1]},
             "ticket_secret": "sixteen characters or more",
             "stop_grace_s": grace_s,
             "upstream": {
@@ -168,8 +196,7 @@
         await _wait_listening(running)
         for other in others:
             running.announce(other.member)
-            if is_known:
-                other.announce(running.member)
+            other.announce(running.member)
         return running
 
     async def wait_connected(self) -> None:
@@ -190,6 +217,7 @@
             await asyncio.gather(running.serving, return_exceptions=True)
             running.node.close()
             running.upstream.server.close()
+        self.store.close()
 
 
 @asynccontextmanager
--- a/tests/test_node_stopping.py
+++ b/tests/test_node_stopping.py
@@ -11,7 +11,7 @@
 from pimentoscale.peering.peers import IDLE_TIMEOUT_S, TrafficClass
 from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
 from tests.nodes import RunningNode, Site, get_ticket, run_site, send
-from tests.sidecars import wait_until
+from tests.sidecars import WAIT_S, wait_until
 
 RUN_S = 1.5
 KINDS = ["read", "write"]
@@ -51,6 +51,14 @@
     assert sum(item.upstream.runs["x"] for item in running) == 1
 
 
+def check_cut(response: httpx.Response, kind: str) -> None:
+    """Check the answer to a call that was broken off in its run."""
+    assert response.status_code == 504, response.headers
+    assert response.headers["pimento-error"] == "deadline_while_running"
+    outcomes = {"failed"} if kind == "read" else {"failed", "unknown"}
+    assert response.headers["pimento-outcome"] in outcomes
+
+
 @pytest.mark.parametrize("kind", KINDS)
 @pytest.mark.parametrize("is_stopping", [False, True])
 def test_call_is_not_given_up_when_its_target_is_announced_as_gone(
@@ -147,3 +155,291 @@
         check_answered(await sending, target)
 
     run_scenario(scenario)
+
+
+async def stop(running: RunningNode, grace_s: int) -> None:
+    """Stop a node; raises `TimeoutError` unless it ends within the grace period."""
+    running.node.state.settings = replace(
+        running.node.state.settings, stop_grace_s=grace_s
+    )
+    running.node.drain()
+    async with asyncio.timeout(grace_s):
+        await asyncio.shield(running.serving)
+
+
+@pytest.mark.parametrize("grace_s", [1, 2])
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("names", [("f0",), ("b0",), ("f0", "b0"), ("b0", "f0")])
+def test_call_that_outlasts_the_grace_is_answered_truthfully(
+    names: tuple[str, ...], kind: str, grace_s: int
+) -> None:
+    async def scenario(site: Site) -> None:
+        sending = await start_call(site, kind, run_s=None)
+        await asyncio.gather(*[stop(site.nodes[name], grace_s) for name in names])
+        check_cut(await sending, kind)
+        assert site.nodes["b0"].upstream.runs == {"x": 1}
+        cancelled = site.nodes["b0"].upstream.cancelled
+        await wait_until(lambda: cancelled == {"x"})
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_call_at_the_own_upstream_that_outlasts_the_grace_is_answered(
+    kind: str,
+) -> None:
+    async def scenario(site: Site) -> None:
+        running = site.nodes["b0"]
+        sending = await start_call(site, kind, run_s=None, entry="b0")
+        await stop(running, 2)
+        check_cut(await sending, kind)
+        assert running.upstream.runs == {"x": 1}
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("name", ["f0", "b0"])
+def test_queued_call_that_outlasts_the_grace_is_answered_truthfully(name: str) -> None:
+    async def scenario(site: Site) -> None:
+        target = site.nodes["b0"]
+        target.upstream.run_s = None
+        runner = target.node._runner
+        # A node that has just started admits few calls at once.
+        sends = [
+            asyncio.create_task(send(site.nodes["f0"], "read", f"x{number}"))
+            for number in range(12)
+        ]
+        await wait_until(
+            lambda: (
+                runner.queued > 0
+                and runner.running == len(target.upstream.runs)
+                and runner.running + runner.queued == runner.in_progress
+            )
+        )
+        await stop(site.nodes[name], 2)
+        responses = await asyncio.gather(*sends)
+        for number, response in enumerate(responses):
+            if target.upstream.runs[f"x{number}"]:
+                check_cut(response, "read")
+            elif name == "b0":
+                assert response.status_code == 503
+                assert response.headers["pimento-outcome"] == "refused"
+            else:
+                assert response.headers["pimento-outcome"] in ("refused", "failed")
+
+    run_scenario(scenario)
+
+
+def test_queued_call_passes_on_no_more_time_than_its_stopping_node_has_left() -> None:
+    async def scenario(site: Site) -> None:
+        target = site.nodes["b0"]
+        target.upstream.run_s = None
+        runner = target.node._runner
+        sends = [
+            asyncio.create_task(send(site.nodes["f0"], "read", f"x{number}"))
+            for number in range(12)
+        ]
+        await wait_until(
+            lambda: runner.queued > 0 and runner.running == len(target.upstream.runs)
+        )
+        started = set(target.upstream.runs)
+        stopping = asyncio.create_task(stop(target, 4))
+        await wait_until(lambda: target.node.state.is_draining)
+        target.upstream.release.set()
+        responses = await asyncio.gather(*sends)
+        assert {response.status_code for response in responses} <= {200, 503}
+        queued = set(target.upstream.runs) - started
+        assert queued
+        for name in queued:
+            assert target.upstream.timeouts_ms[name] < 4000
+        await stopping
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_instance_that_restarts_at_its_address_serves_after_a_cut_call(
+    kind: str,
+) -> None:
+    async def scenario(site: Site) -> None:
+        entry, old = site.nodes["f0"], site.nodes["b0"]
+        sending = await start_call(site, kind, run_s=None)
+        await stop(old, 2)
+        check_cut(await sending, kind)
+        new = await site.start("b0", "back", predecessor=old.node.state.settings)
+        await site.wait_connected()
+        assert (await send(entry, "read", "y")).status_code == 200
+        assert new.upstream.runs == {"y": 1}
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("order", [("f0", "b0"), ("b0", "f0")])
+@pytest.mark.parametrize("kind", KINDS)
+def test_call_is_answered_while_both_of_its_nodes_stop(
+    kind: str, order: tuple[str, str]
+) -> None:
+    async def scenario(site: Site) -> None:
+        target = site.nodes["b0"]
+        sending = await start_call(site, kind, run_s=3.0)
+        first, second = (site.nodes[name] for name in order)
+        stopping = [asyncio.create_task(stop(first, 6))]
+        await asyncio.sleep(0.5)
+        stopping.append(asyncio.create_task(stop(second, 6)))
+        check_answered(await sending, target)
+        await asyncio.gather(*stopping)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_call_taken_while_stopping_passes_on_no_more_time_than_is_left(
+    kind: str,
+) -> None:
+    async def scenario(site: Site) -> None:
+        upstream = site.nodes["b0"].upstream
+        ticket = await get_ticket(site.nodes["f0"], kind, "x")
+        stopping = asyncio.create_task(stop(site.nodes["f0"], 4))
+        await asyncio.sleep(0)
+        upstream.run_s = None
+        response = await send(site.nodes["f0"], kind, "x", ticket=ticket)
+        assert upstream.runs == {"x": 1}
+        assert upstream.timeouts_ms["x"] < 4000
+        check_cut(response, kind)
+        await stopping
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_running_call_makes_its_sub_calls_while_its_node_stops(kind: str) -> None:
+    async def scenario(site: Site) -> None:
+        running = site.nodes["f0"]
+        running.upstream.run_s = None
+        running.upstream.sub_call = kind
+        ticket = await get_ticket(running, "page", "x")
+        sending = asyncio.create_task(send(running, "page", "x", ticket=ticket))
+        await wait_until(lambda: running.upstream.runs == {"x": 1})
+        stopping = asyncio.create_task(stop(running, 6))
+        # Longer than a node without work takes to end.
+        await asyncio.sleep(2.5)
+        running.upstream.release.set()
+        response = await sending
+        assert response.status_code == 200
+        assert len(site.nodes["b0"].upstream.runs) == 1
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_node_ends_only_once_its_answers_are_sent_whole() -> None:
+    async def scenario(site: Site) -> None:
+        running, size = site.nodes["f0"], 12_000_000
+        site.nodes["b0"].upstream.answer_bytes = size
+        ticket = await get_ticket(running, "write", "x")
+        address = running.node.state.settings.http
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port, limit=1024
+        )
+        head = (
+            "POST /call/run HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n"
+            "pimento-kind: write\r\npimento-request-id: x\r\n"
+            f"pimento-caller: tests\r\npimento-ticket: {ticket}\r\n\r\n"
+        )
+        writer.write(head.encode())
+        # The caller reads nothing more for the time being.
+        received = len(await reader.readexactly(100))
+        running.node.drain()
+        # Longer than a node without work takes to end.
+        await asyncio.sleep(3.0)
+        assert not running.serving.done()
+        async with asyncio.timeout(WAIT_S):
+            while data := await reader.read(65536):
+                received += len(data)
+            await running.serving
+        assert received > size
+        writer.close()
+
+    run_scenario(scenario)
+
+
+def test_node_ends_at_the_end_of_its_grace_though_a_caller_reads_nothing() -> None:
+    async def scenario(site: Site) -> None:
+        running = site.nodes["f0"]
+        site.nodes["b0"].upstream.answer_bytes = 12_000_000
+        address = running.node.state.settings.http
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port, limit=1024
+        )
+        head = (
+            "POST /call/run HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n"
+            "pimento-kind: read\r\npimento-request-id: x\r\n\r\n"
+        )
+        writer.write(head.encode())
+        await reader.readexactly(100)
+        await stop(running, 2)
+        writer.close()
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("grace_s", [1, 3])
+def test_node_without_work_ends_within_its_grace(grace_s: int) -> None:
+    async def scenario(site: Site) -> None:
+        await stop(site.nodes["f0"], grace_s)
+
+    run_scenario(scenario)
+
+
+def test_run_whose_sender_has_left_is_not_broken_off_by_the_stop_of_its_home() -> None:
+    async def scenario(site: Site) -> None:
+        home, target = site.nodes["f0"], site.nodes["b0"]
+        other = await site.start("f1", "front", grace_s=1)
+        await site.wait_connected()
+        ticket = await get_ticket(home, "write", "x")
+        target.upstream.run_s = 3.5
+        sending = asyncio.create_task(send(other, "write", "x", ticket=ticket))
+        await wait_until(lambda: target.upstream.runs == {"x": 1})
+        stopping = asyncio.create_task(stop(home, 6))
+        await stop(other, 1)
+        assert (await sending).headers["pimento-outcome"] == "unknown"
+        await stopping
+        assert target.upstream.cancelled == set()
+
+    run_scenario(scenario)
+
+
+def test_requests_until_the_end_of_a_stop_are_answered_or_not_read() -> None:
+    async def scenario(site: Site) -> None:
+        running, upstream = site.nodes["f0"], site.nodes["b0"].upstream
+        unread: list[str] = []
+        statuses: set[int] = set()
+
+        async def call_repeatedly(caller: int) -> None:
+            async with httpx.AsyncClient(timeout=WAIT_S) as client:
+                for number in range(10_000):
+                    name = f"{caller}-{number}"
+                    headers = {"pimento-kind": "read", "pimento-request-id": name}
+                    try:
+                        response = await client.post(
+                            f"{running.url}/call/run", headers=headers
+                        )
+                    except httpx.ConnectError:
+                        return
+                    except (httpx.RemoteProtocolError, httpx.ReadError) as error:
+                        unread.append(f"{name}: {error!r}")
+                        assert not upstream.runs[name], unread
+                        continue
+                    statuses.add(response.status_code)
+                    refused = response.headers["pimento-outcome"] == "refused"
+                    assert upstream.runs[name] == (0 if refused else 1)
+                    await asyncio.sleep(0.005)
+
+        callers = [asyncio.create_task(call_repeatedly(n)) for n in range(4)]
+        await wait_until(lambda: len(upstream.runs) > 20)
+        await stop(running, 3)
+        await asyncio.gather(*callers)
+        assert 200 in statuses
+        assert statuses <= {200, 503}
+
+    run_scenario(scenario)
