Wait for the end of the run in the test of a home that stops

The check came before the target's upstream could notice the end of its connection, so the test passed without the count of runs in Node._count_owed. It waits for the end of the run now: without that count it fails, with it it passes.

--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -72,6 +72,7 @@
         self.runs: Counter[str] = Counter()
         self.timeouts_ms: dict[str, int] = {}
         self.cancelled: set[str] = set()
+        self.finished: set[str] = set()
         self.server = HttpServer(handler=self._handle, limits=HttpLimits())
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
@@ -89,6 +90,7 @@
         except asyncio.CancelledError:
             self.cancelled.add(name)
             raise
+        self.finished.add(name)
         return HttpResponse(status=status, headers=[], body=b"x" * self.answer_bytes)
 
     async def _make_sub_call(self, request: HttpRequest) -> int:
--- a/tests/test_node_stopping.py
+++ b/tests/test_node_stopping.py
@@ -404,7 +404,9 @@
         await stop(other, 1)
         assert (await sending).headers["pimento-outcome"] == "unknown"
         await stopping
-        assert target.upstream.cancelled == set()
+        upstream = target.upstream
+        await wait_until(lambda: bool(upstream.finished | upstream.cancelled))
+        assert upstream.cancelled == set()
 
     run_scenario(scenario)
 
