--- a/src/pimentoscale/peering/acceptor.py
+++ b/src/pimentoscale/peering/acceptor.py
@@ -13,6 +13,7 @@
     read_request,
 )
 from pimentoscale.dispatch.runner import UpstreamRunner
+from pimentoscale.dispatch.stopping import refuse_for_stop, run_until_stop
 from pimentoscale.dispatch.submission import Submissions
 from pimentoscale.dispatch.witnesses import WitnessService
 from pimentoscale.errors import CallError, ErrorKind
@@ -39,7 +40,7 @@
     SlowCall,
     Verdict,
 )
-from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
+from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S, SILENT_WORK_TIMEOUT_S
 from pimentoscale.stream.transfer import BodyReceiver, BodySender
 from pimentoscale.ticket import WitnessVerdict
 
@@ -103,6 +104,14 @@
         """Return the number of calls in progress."""
         return sum(len(session.active_calls) for session in self._sessions)
 
+    def count_unsent(self, *, now: float) -> int:
+        """Return how many streams have answers to send to a node that is in touch."""
+        return sum(
+            session.connection.has_unsent_bytes
+            and now - session.connection.last_received_at < HEARTBEAT_TIMEOUT_S
+            for session in self._sessions
+        )
+
     async def start(self) -> None:
         """Start to listen for streams."""
         address = self._state.settings.stream
@@ -123,14 +132,18 @@
     def close_silent(self, *, now: float, was_paused: bool) -> None:
         """Close streams that received nothing for `HEARTBEAT_TIMEOUT_S`.
 
-        After a pause of this process the time-out starts again, since the pause itself
-        kept it from reading what was sent.
+        One whose calls still run is kept up to `SILENT_WORK_TIMEOUT_S`: its sender may
+        only be paused, and may get their answers yet. After a pause of this process the
+        time-out starts again, since the pause itself kept it from reading what was
+        sent.
         """
         for session in list(self._sessions):
             connection = session.connection
+            is_working = bool(session.active_calls)
+            limit_s = SILENT_WORK_TIMEOUT_S if is_working else HEARTBEAT_TIMEOUT_S
             if was_paused:
                 connection.last_received_at = now
-            elif now - connection.last_received_at > HEARTBEAT_TIMEOUT_S:
+            elif now - connection.last_received_at > limit_s:
                 log.info(
                     "nothing received from %s in time; stream closed",
                     session.remote.instance,
@@ -268,14 +281,19 @@
         if kind is None:
             error = CallError(kind=ErrorKind.UNKNOWN_KIND, detail=frame.kind)
             return Answer.of_error(error), 0
+        shutdown = self._state.shutdown
+        if not shutdown.may_take(expected_s=0.0, now=now):
+            return refuse_for_stop(has_ticket=frame.submission), 0
         context = read_context(frame, now=now)
+        context.deadline = shutdown.limit_deadline(context.deadline)
         request = read_request(frame, body)
         if frame.submission:
-            answer = await self._submissions.submit(
-                frame.ticket, context, kind, request
-            )
+            run = self._submissions.submit(frame.ticket, context, kind, request)
         else:
-            answer = await self._runner.run(context, kind, request)
+            run = self._runner.run(context, kind, request)
+        answer = await run_until_stop(
+            run, state=self._state, context=context, kind=kind
+        )
         return answer, context.budget.close()
 
 
