--- a/src/pimentoscale/stream/connection.py
+++ b/src/pimentoscale/stream/connection.py
@@ -60,6 +60,12 @@
             and not self._is_finished
         )
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether frames are buffered that the system has not taken yet."""
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def send(self, frame: Frame) -> None:
         """Write a frame without waiting; drop it if the connection is closed.
 
