--- a/src/pimentoscale_bench/soak/record.py
+++ b/src/pimentoscale_bench/soak/record.py
@@ -207,7 +207,7 @@
         """
         at = min(run.ended, exchange.ended_at)
         for disturbance in self.disturbances:
-            if disturbance.node not in (exchange.node, run.node):
+            if disturbance.node not in ("", exchange.node, run.node):
                 continue
             if disturbance.breaks_runs and _overlaps(
                 disturbance, exchange.sent_at, exchange.ended_at
--- a/src/pimentoscale_bench/soak/run.py
+++ b/src/pimentoscale_bench/soak/run.py
@@ -14,6 +14,7 @@
 from pimentoscale_bench.soak.callers import SoakCaller, send_once
 from pimentoscale_bench.soak.deployment import SoakDeployment, SoakNode
 from pimentoscale_bench.soak.faults import FAULTS, FaultContext
+from pimentoscale_bench.soak.starvation import STARVED, watch_starvation
 
 CALLERS_PER_NODE = 2
 # Faults begin at random times, with this mean interval; several may overlap.
@@ -81,12 +82,19 @@
         report = SoakReport(seed=self._seed)
         try:
             await self._deployment.start()
+            watcher = asyncio.create_task(watch_starvation(self._deployment))
             await self._run_load(faults, report)
+            watcher.cancel()
             await self._check_recovery()
         finally:
             self._deployment.stop()
             self._reservation.close()
         record = self._deployment.record
+        for starved in record.disturbances:
+            if starved.kind == STARVED:
+                name = starved.node or "this process"
+                span = f"{starved.began:.3f} to {starved.ended:.3f}"
+                self._timeline.append(f"{span} {STARVED}: {name}")
         report.breaches = record.find_breaches()
         report.requests = len(record.exchanges)
         report.statuses = dict(
