--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -1,17 +1,23 @@
 """Exit codes and output of the programs, and the order of time line events."""
 
+import os
+import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
 import tomli_w
 
+from pimentoscale.platform.settings import SETTINGS_VARIABLE
 from pimentoscale.programs.timeline_page import render_timeline
 from pimentoscale.timeline import Event, EventName, HybridClock, Timeline, merge_events
 from tests.test_settings import make_document
 
 UNREACHABLE = "127.254.254.254:1"
+SIDECAR = Path(__file__).parents[1] / "src" / "sidecar.py"
+TIMEOUT_S = 30.0
 
 
 def run_program(module: str, *arguments: str) -> subprocess.CompletedProcess[str]:
@@ -80,3 +86,25 @@
     page = render_timeline([event])
     assert "<script>" not in page
     assert "&lt;script&gt;" in page
+
+
+def ignores_signal(pid: int, number: int) -> bool:
+    status = Path(f"/proc/{pid}/status").read_text()
+    mask = next(line for line in status.splitlines() if line.startswith("SigIgn"))
+    return bool(int(mask.split()[1], 16) >> (number - 1) & 1)
+
+
+def test_starting_sidecar_is_not_ended_by_a_change_of_its_settings(
+    tmp_path: Path,
+) -> None:
+    environment = {**os.environ, SETTINGS_VARIABLE: str(tmp_path / "missing.conf")}
+    process = subprocess.Popen(
+        [sys.executable, str(SIDECAR)], env=environment, stderr=subprocess.DEVNULL
+    )
+    ends_at = time.monotonic() + TIMEOUT_S
+    while not ignores_signal(process.pid, signal.SIGHUP):
+        assert process.poll() is None
+        assert time.monotonic() < ends_at
+    process.send_signal(signal.SIGHUP)
+    # Bad settings, which are read at the end of the start.
+    assert process.wait(TIMEOUT_S) == 2
