Let other nodes receive all before a node ends, on both interfaces

On the own interface an answer that was under way to another node was lost when the node closed with a frame unread; on the users' platform the wait for it was 0.5 s whatever was left of the grace. Both now half-close their streams with the same function, and wait for the other sides, if they are in touch, up to the end that the rule allows.

--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -26,6 +26,7 @@
     Hello,
     Listener,
     RoutesRecord,
+    finish_connections,
 )
 from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S, SILENT_WORK_TIMEOUT_S
 
@@ -72,23 +73,20 @@
         """Return the requests of other nodes that are in progress."""
         return sum(len(session.tasks) for session in self._sessions)
 
-    @property
-    def open_streams(self) -> int:
-        """Return how many streams are open to nodes that are in touch."""
-        now = asyncio.get_running_loop().time()
-        return sum(
-            now - session.connection.last_received_at < HEARTBEAT_TIMEOUT_S
-            for session in self._sessions
-        )
-
-    def finish_streams(self) -> None:
-        """Take no more streams and send nothing more on those that are open.
-
-        Each ends once its node has received all.
-        """
+    async def finish_streams(self, *, ends_at: float) -> None:
+        """Take no more streams, and let other nodes receive all that was sent."""
         self._listener.close()
-        for session in self._sessions:
-            session.connection.finish()
+        await finish_connections(self._list_in_touch, ends_at=ends_at)
+
+    def _list_in_touch(self) -> list[Connection]:
+        """Return the streams to nodes that are not silent."""
+        now = asyncio.get_running_loop().time()
+        streams = [session.connection for session in self._sessions]
+        return [
+            item
+            for item in streams
+            if now - item.last_received_at < HEARTBEAT_TIMEOUT_S
+        ]
 
     async def start(self) -> None:
         """Listen for streams."""
--- a/src/pimentoscale/forwarding/stopping.py
+++ b/src/pimentoscale/forwarding/stopping.py
@@ -29,8 +29,6 @@
 # With a grace period shorter than this, other nodes are notified and refused sooner in
 # proportion.
 FULL_GRACE_S = 6.0
-# How long other nodes may take at the end to receive all and to close their streams.
-CLOSE_STREAMS_S = 0.5
 STOP_POLL_S = 0.05
 
 log = get_logger("sidecar")
@@ -92,21 +90,13 @@
                 # A request that has just been read is still answered.
                 shutdown.is_closed = True
             await asyncio.sleep(STOP_POLL_S)
-        await self._close_streams()
+        await self._receiver.finish_streams(ends_at=shutdown.ends_at)
         if owed:
             log.warning("grace period over: stopping with %d answers owed", owed)
         self._server.close_idle()
         log.info("stopped after %.2f s", shutdown.get_elapsed_s(now=loop.time()))
         self._on_stopped()
 
-    async def _close_streams(self) -> None:
-        """Let the other nodes receive what was sent to them and close their streams."""
-        loop = asyncio.get_running_loop()
-        ends_at = min(loop.time() + CLOSE_STREAMS_S, self._state.shutdown.ends_at)
-        self._receiver.finish_streams()
-        while self._receiver.open_streams and loop.time() < ends_at:
-            await asyncio.sleep(STOP_POLL_S)
-
     def _take_steps(self, elapsed_s: float) -> None:
         scale = min(1.0, self._state.settings.stop_grace_s / FULL_GRACE_S)
         if elapsed_s >= scale * NOTIFY_NODES_S and not self._state.is_draining:
--- a/src/pimentoscale/node/node.py
+++ b/src/pimentoscale/node/node.py
@@ -288,17 +288,18 @@
         scale = min(1.0, self.state.settings.stop_grace_s / FULL_GRACE_S)
         while True:
             now = loop.time()
-            owed = self._count_owed(now)
+            owed = self._count_owed()
             if shutdown.may_end(owed=owed, now=now, earliest_s=scale * DRAIN_NOTICE_S):
                 if shutdown.is_closed or owed:
                     break
                 # A call that has just been read is still answered.
                 shutdown.is_closed = True
             await asyncio.sleep(min(STOP_POLL_S, max(0.0, shutdown.ends_at - now)))
+        await self._acceptor.finish_streams(ends_at=shutdown.ends_at)
         log.info("stopped with %d answers owed", owed)
         self._stopped.set()
 
-    def _count_owed(self, now: float) -> int:
+    def _count_owed(self) -> int:
         """Return how many answers this node owes.
 
         A call counts once for each part of this node that handles it.
@@ -307,7 +308,6 @@
             self.endpoint.in_progress
             + self.count_http_owed()
             + self._acceptor.in_progress
-            + self._acceptor.count_unsent(now=now)
             + self._runner.in_progress
             + self._submissions.in_progress
         )
--- a/src/pimentoscale/peering/acceptor.py
+++ b/src/pimentoscale/peering/acceptor.py
@@ -39,6 +39,7 @@
     ResolveTicket,
     SlowCall,
     Verdict,
+    finish_connections,
 )
 from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S, SILENT_WORK_TIMEOUT_S
 from pimentoscale.stream.transfer import BodyReceiver, BodySender
@@ -104,13 +105,20 @@
         """Return the number of calls in progress."""
         return sum(len(session.active_calls) for session in self._sessions)
 
-    def count_unsent(self, *, now: float) -> int:
-        """Return how many streams have answers to send to a node that is in touch."""
-        return sum(
-            session.connection.has_unsent_bytes
-            and now - session.connection.last_received_at < HEARTBEAT_TIMEOUT_S
-            for session in self._sessions
-        )
+    async def finish_streams(self, *, ends_at: float) -> None:
+        """Take no more streams, and let other nodes receive all that was sent."""
+        self._listener.close()
+        await finish_connections(self._list_in_touch, ends_at=ends_at)
+
+    def _list_in_touch(self) -> list[Connection]:
+        """Return the streams to nodes that are not silent."""
+        now = asyncio.get_running_loop().time()
+        streams = [session.connection for session in self._sessions]
+        return [
+            item
+            for item in streams
+            if now - item.last_received_at < HEARTBEAT_TIMEOUT_S
+        ]
 
     async def start(self) -> None:
         """Start to listen for streams."""
--- a/src/pimentoscale/stream/__init__.py
+++ b/src/pimentoscale/stream/__init__.py
@@ -1,7 +1,12 @@
 """Streams of msgpack frames between nodes."""
 
 from pimentoscale.stream.codec import FrameError, decode_frame, encode_frame
-from pimentoscale.stream.connection import Connection, Listener, connect
+from pimentoscale.stream.connection import (
+    Connection,
+    Listener,
+    connect,
+    finish_connections,
+)
 from pimentoscale.stream.frames import (
     Announcements,
     Call,
@@ -64,4 +69,5 @@
     "connect",
     "decode_frame",
     "encode_frame",
+    "finish_connections",
 ]
--- a/src/pimentoscale/stream/connection.py
+++ b/src/pimentoscale/stream/connection.py
@@ -7,13 +7,14 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 from pimentoscale.settings import Address
 from pimentoscale.stream.codec import FrameError, FrameReader, encode_frame
 from pimentoscale.stream.frames import PROTOCOL_VERSION, Frame, Hello
 
 HELLO_TIMEOUT_S = 2.0
+FINISH_POLL_S = 0.02
 
 FrameHandler = Callable[[Frame], None]
 ConnectionHandler = Callable[["Connection"], Awaitable[None]]
@@ -60,12 +61,6 @@
             and not self._is_finished
         )
 
-    @property
-    def has_unsent_bytes(self) -> bool:
-        """Return whether frames are buffered that the system has not taken yet."""
-        transport = self._transport
-        return transport is not None and transport.get_write_buffer_size() > 0
-
     def send(self, frame: Frame) -> None:
         """Write a frame without waiting; drop it if the connection is closed.
 
@@ -196,6 +191,21 @@
     return connection
 
 
+async def finish_connections(
+    list_open: Callable[[], Collection[Connection]], *, ends_at: float
+) -> None:
+    """Finish connections, and wait until the other sides have closed all of them.
+
+    `list_open` returns those to wait for. The wait ends at `ends_at` on the event
+    loop's clock.
+    """
+    loop = asyncio.get_running_loop()
+    for connection in list_open():
+        connection.finish()
+    while list_open() and loop.time() < ends_at:
+        await asyncio.sleep(FINISH_POLL_S)
+
+
 class Listener:
     """Accepts connections and runs one task for each."""
 
@@ -238,4 +248,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
-__all__ = ["Connection", "FrameError", "Listener", "connect"]
+__all__ = [
+    "Connection",
+    "FrameError",
+    "Listener",
+    "connect",
+    "finish_connections",
+]
--- a/tests/test_node_stopping.py
+++ b/tests/test_node_stopping.py
@@ -9,6 +9,9 @@
 
 from pimentoscale.membership import MemberState
 from pimentoscale.peering.peers import IDLE_TIMEOUT_S, TrafficClass
+from pimentoscale.stream import Hello
+from pimentoscale.stream.codec import encode_frame
+from pimentoscale.stream.frames import PROTOCOL_VERSION
 from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
 from tests.nodes import RunningNode, Site, get_ticket, run_site, send
 from tests.sidecars import WAIT_S, wait_until
@@ -445,3 +448,25 @@
         assert statuses <= {200, 503}
 
     run_scenario(scenario)
+
+
+def test_node_lets_others_receive_all_before_it_closes_their_streams() -> None:
+    async def scenario(site: Site) -> None:
+        node = site.nodes["b0"].node
+        address = node.state.settings.stream
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        hello = Hello(
+            protocol=PROTOCOL_VERSION, instance="x0", incarnation=1, zone="z1"
+        )
+        writer.write(encode_frame(hello))
+        await wait_until(lambda: len(node._acceptor._list_in_touch()) > 1)
+        node.state.settings = replace(node.state.settings, stop_grace_s=3)
+        node.drain()
+        async with asyncio.timeout(WAIT_S):
+            while await reader.read(65536):
+                pass
+        # The stream has been finished, not closed.
+        assert not node._stopped.is_set()
+        writer.close()
+
+    run_scenario(scenario)
