--- a/tests/test_node_stopping.py
+++ b/tests/test_node_stopping.py
@@ -459,7 +459,7 @@
             protocol=PROTOCOL_VERSION, instance="x0", incarnation=1, zone="z1"
         )
         writer.write(encode_frame(hello))
-        await wait_until(lambda: len(node._acceptor._list_in_touch()) > 1)
+        await wait_until(lambda: len(node._acceptor._sessions) > 1)
         node.state.settings = replace(node.state.settings, stop_grace_s=3)
         node.drain()
         async with asyncio.timeout(WAIT_S):
