--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -76,17 +76,11 @@
     async def finish_streams(self, *, ends_at: float) -> None:
         """Take no more streams, and let other nodes receive all that was sent."""
         self._listener.close()
-        await finish_connections(self._list_in_touch, ends_at=ends_at)
-
-    def _list_in_touch(self) -> list[Connection]:
-        """Return the streams to nodes that are not silent."""
-        now = asyncio.get_running_loop().time()
-        streams = [session.connection for session in self._sessions]
-        return [
-            item
-            for item in streams
-            if now - item.last_received_at < HEARTBEAT_TIMEOUT_S
-        ]
+        await finish_connections(
+            lambda: [session.connection for session in self._sessions],
+            silence_s=HEARTBEAT_TIMEOUT_S,
+            ends_at=ends_at,
+        )
 
     async def start(self) -> None:
         """Listen for streams."""
--- a/src/pimentoscale/stream/connection.py
+++ b/src/pimentoscale/stream/connection.py
@@ -7,7 +7,7 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Awaitable, Callable
 
 from pimentoscale.settings import Address
 from pimentoscale.stream.codec import FrameError, FrameReader, encode_frame
@@ -192,17 +192,20 @@
 
 
 async def finish_connections(
-    list_open: Callable[[], Collection[Connection]], *, ends_at: float
+    list_open: Callable[[], list[Connection]], *, silence_s: float, ends_at: float
 ) -> None:
-    """Finish connections, and wait until the other sides have closed all of them.
+    """Finish connections, and wait until the other sides have closed them.
 
-    `list_open` returns those to wait for. The wait ends at `ends_at` on the event
-    loop's clock.
+    Those on which nothing was received for `silence_s` are not waited for. The wait
+    ends at `ends_at` on the event loop's clock.
     """
     loop = asyncio.get_running_loop()
     for connection in list_open():
         connection.finish()
-    while list_open() and loop.time() < ends_at:
+    while loop.time() < ends_at:
+        heard_since = loop.time() - silence_s
+        if all(item.last_received_at < heard_since for item in list_open()):
+            return
         await asyncio.sleep(FINISH_POLL_S)
 
 
