Keep the cancellations of tasks that wait with a time-out

Seen: with its test on uvloop, the end of a node of the own interface hung; the task that decides patches went on after it had been cancelled, and the runner waits for all tasks at the end of the process. A process that hangs there ends by SIGKILL only.

Cause: asyncio.wait_for of Python 3.11 returns the result, and drops the cancellation, if what it waits for has happened in the same turn of the loop. On the end of a node the loss of its streams sets the event that this task waits for. On the platform's interface the same call stood in the wait for a stream, where a caller that leaves at that moment left its request going.

--- a/src/pimentoscale/distribution/log_tasks.py
+++ b/src/pimentoscale/distribution/log_tasks.py
@@ -122,7 +122,8 @@
         while True:
             changed = self._distribution.changed
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(changed.wait(), RETRY_DELAY_S)
+                async with asyncio.timeout(RETRY_DELAY_S):
+                    await changed.wait()
             changed.clear()
             if self._overlay.is_root and self._has_read_members:
                 await self._run_step(self._append_decision)
--- a/src/pimentoscale/forwarding/links.py
+++ b/src/pimentoscale/forwarding/links.py
@@ -92,7 +92,8 @@
         if not peer.is_up:
             try:
                 event = self._up[member.instance]
-                await asyncio.wait_for(event.wait(), CONNECT_TIMEOUT_S)
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    await event.wait()
             except TimeoutError as error:
                 raise PeerUnreachableError(member.instance) from error
         return peer
--- a/src/pimentoscale/http/client.py
+++ b/src/pimentoscale/http/client.py
@@ -403,10 +403,10 @@
         host, port = self.address.host, self.address.port
         self._in_use += 1
         try:
-            connect = loop.create_connection(
-                lambda: HttpClientConnection(buffered=self._buffered), host, port
-            )
-            _, connection = await asyncio.wait_for(connect, CONNECT_TIMEOUT_S)
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: HttpClientConnection(buffered=self._buffered), host, port
+                )
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             self._in_use -= 1
             reason = str(error) or "no answer to the connect"
--- a/src/pimentoscale/node/pause.py
+++ b/src/pimentoscale/node/pause.py
@@ -55,7 +55,8 @@
     async def wait_until_current(self) -> None:
         """Wait until the process has caught up, at most `CATCH_UP_TIMEOUT_S`."""
         try:
-            await asyncio.wait_for(self._is_current.wait(), CATCH_UP_TIMEOUT_S)
+            async with asyncio.timeout(CATCH_UP_TIMEOUT_S):
+                await self._is_current.wait()
         except TimeoutError:
             log.warning("not caught up in time; the version served may be outdated")
             self._is_current.set()
--- a/src/pimentoscale/peering/peers.py
+++ b/src/pimentoscale/peering/peers.py
@@ -129,7 +129,8 @@
         if not peer.is_up:
             event = self._up_events[(member.instance, traffic_class)]
             try:
-                await asyncio.wait_for(event.wait(), WAIT_UP_TIMEOUT_S)
+                async with asyncio.timeout(WAIT_UP_TIMEOUT_S):
+                    await event.wait()
             except TimeoutError as error:
                 raise PeerUnreachableError(member.instance) from error
         remote = peer.remote
--- a/src/pimentoscale/programs/node.py
+++ b/src/pimentoscale/programs/node.py
@@ -69,7 +69,8 @@
         while not await self.on_tick(counter):
             counter += 1
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._stopping.wait(), TICK_PERIOD_S)
+                async with asyncio.timeout(TICK_PERIOD_S):
+                    await self._stopping.wait()
 
     async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
         """Close the connections; abort those that are busy at the end of the stop."""
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -288,8 +288,8 @@
             delay = min(RECONNECT_MAX_S, 2 * delay)
 
     async def _run_connection(self) -> None:
-        opening = connect(self.address)
-        connection = await asyncio.wait_for(opening, CONNECT_TIMEOUT_S)
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            connection = await connect(self.address)
         try:
             remote = await connection.exchange_hello(hello=self._hello())
             self._connection = connection
--- a/src/pimentoscale/upstream/pool.py
+++ b/src/pimentoscale/upstream/pool.py
@@ -91,8 +91,10 @@
         host, port = self._address.host, self._address.port
         self._open_count += 1
         try:
-            connect = loop.create_connection(UpstreamConnection, host, port)
-            _, connection = await asyncio.wait_for(connect, CONNECT_TIMEOUT_S)
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    UpstreamConnection, host, port
+                )
         except (OSError, TimeoutError) as error:
             self._open_count -= 1
             raise UpstreamUnreachableError(f"{self._address}: {error}") from error
--- a/src/pimentoscale_bench/platform.py
+++ b/src/pimentoscale_bench/platform.py
@@ -107,7 +107,8 @@
         partition = self._topics[topic]
         if offset >= partition.end and wait_ms > 0:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(partition.arrived.wait(), wait_ms / 1000)
+                async with asyncio.timeout(wait_ms / 1000):
+                    await partition.arrived.wait()
         if offset < partition.first:
             raise StoreGoneError
         start = offset - partition.first
--- a/tests/test_node_stopping.py
+++ b/tests/test_node_stopping.py
@@ -470,3 +470,14 @@
         writer.close()
 
     run_scenario(scenario)
+
+
+def test_node_ends_though_the_configuration_changes_while_it_ends() -> None:
+    async def scenario(site: Site) -> None:
+        node = site.nodes["f0"].node
+        node._distribution.changed.set()
+        node.close()
+        await asyncio.wait(node._tasks, timeout=WAIT_S)
+        assert all(task.done() for task in node._tasks)
+
+    run_scenario(scenario)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -51,7 +51,8 @@
     writer.write(data)
     if writer.can_write_eof():
         writer.write_eof()
-    answer = await asyncio.wait_for(reader.read(), 20)
+    async with asyncio.timeout(20):
+        answer = await reader.read()
     writer.close()
     return answer
 
