Run the nodes of the stop tests on the loop of the program

Cause: the test ran on asyncio's own loop. Server.close() of Python 3.11 forgets the connections that it accepted in the same turn ("Error on transport creation for incoming connection" in debug mode, in just the run that timed out): their sockets stay open until they are collected. A node's process ends then, which resets them, and it runs on uvloop, which passes them on; the test's process goes on. Ruled out: connections that the server knows of (none was left) and requests that reached the upstream (none).

Change: the test runs on uvloop as pimento-node does; its checks are the same. The server waits one turn of the loop after it has closed its listeners, so that connections accepted in that turn are closed with the others.

--- a/src/pimentoscale/programs/node.py
+++ b/src/pimentoscale/programs/node.py
@@ -77,6 +77,8 @@
         loop = asyncio.get_running_loop()
         for server in self.servers:
             server.close()
+        # Connections that were accepted in this turn of the loop join the others.
+        await asyncio.sleep(0)
         for connection in list(self.server_state.connections):
             connection.shutdown()
         while self._list_busy() and loop.time() < self._ends_at:
--- a/tests/test_node_stopping.py
+++ b/tests/test_node_stopping.py
@@ -6,6 +6,7 @@
 
 import httpx
 import pytest
+import uvloop
 
 from pimentoscale.membership import MemberState
 from pimentoscale.peering.peers import IDLE_TIMEOUT_S, TrafficClass
@@ -30,7 +31,7 @@
             await site.wait_connected()
             await scenario(site)
 
-    asyncio.run(run())
+    uvloop.run(run())
 
 
 async def start_call(
