--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+# Processes that share the tests, most of which wait.
+WORKERS := 4
 READY := $(VENV)/.ready
 
 .PHONY: run test bench bench-calm soak format
@@ -12,7 +14,7 @@
 	$(BIN)/ruff format --check src tests benchmarks
 	$(BIN)/ruff check src tests benchmarks
 	$(BIN)/mypy
-	$(BIN)/pytest
+	$(BIN)/pytest --numprocesses $(WORKERS)
 
 bench: $(READY)
 	$(BIN)/pytest benchmarks
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import os
 import random
 import socket
 from collections import Counter
@@ -22,12 +21,10 @@
 from pimentoscale.node.node import Node
 from pimentoscale.policy import get_policy
 from pimentoscale.programs.node import serve_node
-from pimentoscale.settings import Address, NodeSettings
+from pimentoscale.settings import NodeSettings
+from tests.addresses import HOST, find_address
 from tests.sidecars import wait_until
 
-# A loopback address of this process alone, so that its ports are free.
-HOST = f"127.{2 + os.getpid() // 250 % 200}.{os.getpid() % 250}.1"
-PORTS = iter(range(20_000, 30_000))
 ZONE = "z1"
 SLOTS = 8
 CONFIGURATION: dict[str, Any] = {
@@ -124,11 +121,6 @@
         self.node._overlay.apply_member(member)
 
 
-def find_address() -> Address:
-    """Return an address that was not used before."""
-    return Address(host=HOST, port=next(PORTS))
-
-
 def _bind() -> socket.socket:
     """Return a socket that keeps its port from others and refuses connections."""
     sock = socket.socket()
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -4,7 +4,6 @@
 import itertools
 import json
 import random
-import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -19,34 +18,15 @@
 from pimentoscale.settings import Address
 from pimentoscale_bench.platform import StoreService, make_application
 from pimentoscale_bench.target import StandInTarget
+from tests.addresses import find_address
 
-HOST = "127.0.0.1"
 WAIT_S = 15.0
 POLL_S = 0.02
 CONFIGURATION_TOPIC = "keyed.op"
-# Each port is used once.
-PORTS = iter(range(21_000, 29_000))
 HOST_NAME = "h.example"
 SEEDS = itertools.count(1)
 
 
-def find_address() -> Address:
-    """Return an address on which nothing listens.
-
-    Its port lies below the range that the system uses for outgoing connections, so it
-    stays free until it is used.
-    """
-    for port in PORTS:
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                # Another program uses the port.
-                continue
-        return Address(host=HOST, port=port)
-    raise RuntimeError("no port is free")
-
-
 async def wait_until(condition: Callable[[], bool]) -> None:
     """Wait for a condition; raises `TimeoutError` after `WAIT_S`."""
     async with asyncio.timeout(WAIT_S):
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -58,7 +58,8 @@
 from pimentoscale.stream.codec import FrameError, decode_frame
 from pimentoscale.stream.connection import connect
 from pimentoscale.stream.frames import FRAMES
-from tests.sidecars import HOST, Deployment, make_route, run_deployment, wait_until
+from tests.addresses import HOST
+from tests.sidecars import Deployment, make_route, run_deployment, wait_until
 from tests.test_platform import SETTINGS, make_announcement, make_configuration
 
 MEMBERS = "keyed.members"
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -22,8 +22,8 @@
 from pimentoscale.http.client import MAX_RESPONSE_BYTES
 from pimentoscale.platform.messages import PlatformMessages
 from pimentoscale.settings import Address
+from tests.addresses import HOST
 
-HOST = "127.0.0.1"
 TIMEOUT_S = 5.0
 
 RawHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,10 +15,9 @@
 from pimentoscale.policy import get_policy
 from pimentoscale.settings import Address, NodeSettings
 from pimentoscale.stream import Connection, Listener, PeerUnreachableError
+from tests.addresses import HOST
 from tests.test_settings import make_document
 
-HOST = "127.251.1.1"
-
 
 def make_pool() -> PeerPool:
     settings = msgspec.convert(make_document(), NodeSettings)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -21,10 +21,10 @@
 from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
 from pimentoscale.suspension import read_suspended_s
 from pimentoscale_bench.relay import Relay
+from tests.addresses import find_address
 from tests.sidecars import (
     Deployment,
     Machine,
-    find_address,
     make_route,
     run_deployment,
     wait_until,
