End the task of a stopped stream whose connection is lost meanwhile

A stream that is stopped just after its connection was reset raised the reset in place of the cancellation, and its task went on to connect again, for ever: to a node that is gone, and at the end of its own node's stop, where the process waits for all tasks.

Change: the heartbeats fail the connection, which ends its reading, without a group. Shown: two of the four cases of the new test fail before, all pass after.

--- a/src/pimentoscale/stream/connection.py
+++ b/src/pimentoscale/stream/connection.py
@@ -119,6 +119,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def fail(self, error: Exception) -> None:
+        """Close the connection at once; `run` raises the error to its caller."""
+        self._mark_closed(error)
+        self.abort()
+
     def close(self) -> None:
         """Close the connection once buffered frames are sent."""
         if self._transport is not None:
@@ -146,9 +151,7 @@
                 else:
                     self._pending.append(frame)
         except Exception as error:
-            # `run` raises the error to its caller.
-            self._mark_closed(error)
-            self.abort()
+            self.fail(error)
         self._wake_hello_waiter()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -294,17 +294,23 @@
             remote = await connection.exchange_hello(hello=self._hello())
             self._connection = connection
             self._observer.on_up(remote=remote, peer=self)
-            async with asyncio.TaskGroup() as tasks:
-                heartbeat = tasks.create_task(self._send_heartbeats(connection, remote))
+            heartbeats = asyncio.create_task(self._supervise(connection, remote))
+            try:
                 await connection.run(
                     lambda frame: self._handle_frame(connection, remote, frame)
                 )
-                heartbeat.cancel()
-        except ExceptionGroup as group:
-            raise group.exceptions[0] from group
+            finally:
+                heartbeats.cancel()
         finally:
             connection.close()
 
+    async def _supervise(self, connection: Connection, remote: Hello) -> None:
+        """Send heartbeats until they fail, which fails the connection."""
+        try:
+            await self._send_heartbeats(connection, remote)
+        except Exception as error:
+            connection.fail(error)
+
     async def _send_heartbeats(self, connection: Connection, remote: Hello) -> None:
         """Send heartbeats periodically.
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -97,3 +97,19 @@
             await pool.wait_up(later, TrafficClass.SHORT)
 
     run_with_server(check)
+
+
+@pytest.mark.parametrize("turns", range(4))
+def test_peer_that_is_stopped_while_its_connection_is_lost_ends(turns: int) -> None:
+    async def check(pool: PeerPool, member: Member) -> None:
+        peer = await pool.wait_up(member, TrafficClass.SHORT)
+        connection, task = peer._connection, peer._task
+        assert connection is not None and task is not None
+        connection.connection_lost(ConnectionResetError())
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        peer.stop()
+        await asyncio.wait([task], timeout=1.0)
+        assert task.cancelled()
+
+    run_with_server(check)
