Send the last answers of a node that runs late at its end

Cause: with a grace period of 1 s a node ends 17 ms after its answers are due. If its process gets no processor meanwhile, its loop finds the time-outs of the requests and the end of the stop due at once: the requests are broken off, and the streams close before they had a turn to send their answers.

Change: at the end of a stop that still owes answers, on both interfaces, the requests get a bounded number of turns of the loop.

--- a/src/pimentoscale/forwarding/stopping.py
+++ b/src/pimentoscale/forwarding/stopping.py
@@ -9,6 +9,7 @@
 from pimentoscale.forwarding.target import LocalTarget
 from pimentoscale.http import HttpServer
 from pimentoscale.logs import get_logger
+from pimentoscale.shutdown import send_last_answers
 
 # The steps of a stop, in seconds after it began.
 
@@ -90,6 +91,7 @@
                 # A request that has just been read is still answered.
                 shutdown.is_closed = True
             await asyncio.sleep(STOP_POLL_S)
+        owed = await send_last_answers(self._count_owed)
         await self._receiver.finish_streams(ends_at=shutdown.ends_at)
         if owed:
             log.warning("grace period over: stopping with %d answers owed", owed)
--- a/src/pimentoscale/node/node.py
+++ b/src/pimentoscale/node/node.py
@@ -38,6 +38,7 @@
 from pimentoscale.policy import PolicyAlgorithms
 from pimentoscale.routing import Target
 from pimentoscale.settings import NodeSettings
+from pimentoscale.shutdown import send_last_answers
 from pimentoscale.stream import Announcements, Connection
 from pimentoscale.ticket import NodeIdentity, TicketIssuer
 from pimentoscale.timeline import EventName, HybridClock, Timeline
@@ -295,6 +296,7 @@
                 # A call that has just been read is still answered.
                 shutdown.is_closed = True
             await asyncio.sleep(min(STOP_POLL_S, max(0.0, shutdown.ends_at - now)))
+        owed = await send_last_answers(self._count_owed)
         await self._acceptor.finish_streams(ends_at=shutdown.ends_at)
         log.info("stopped with %d answers owed", owed)
         self._stopped.set()
--- a/tests/test_node_stopping.py
+++ b/tests/test_node_stopping.py
@@ -1,6 +1,7 @@
 """What a node of the own interface owes to the calls that it has accepted."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
@@ -482,3 +483,20 @@
         assert all(task.done() for task in node._tasks)
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_call_cut_by_a_node_that_runs_late_at_its_end_is_answered(kind: str) -> None:
+    async def scenario(site: Site) -> None:
+        sending = await start_call(site, kind, run_s=None)
+        running = site.nodes["b0"]
+        stopping = asyncio.create_task(stop(running, 1))
+        await wait_until(lambda: running.node.state.is_draining)
+        shutdown = running.node.state.shutdown
+        loop = asyncio.get_running_loop()
+        # Until after the end of the stop, and before that of the grace period.
+        loop.call_at(shutdown.answers_due_at - 0.05, time.sleep, 0.1)
+        check_cut(await sending, kind)
+        await stopping
+
+    run_scenario(scenario)
