Mark the parameters of the control handlers, and balance the tests' processes

Litestar names the inferred style of parameters as deprecated (654 warnings in a run of the tests); its markers say where each comes from. The tests of the slowest files are taken over by processes that have ended theirs. Shown: tests of paths and programs pass with no such warning.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	$(BIN)/ruff format --check src tests benchmarks
 	$(BIN)/ruff check src tests benchmarks
 	$(BIN)/mypy
-	$(BIN)/pytest --numprocesses $(WORKERS)
+	$(BIN)/pytest --numprocesses $(WORKERS) --dist worksteal
 
 bench: $(READY)
 	$(BIN)/pytest benchmarks
--- a/src/pimentoscale/ingress/control.py
+++ b/src/pimentoscale/ingress/control.py
@@ -6,6 +6,7 @@
 import msgspec
 from litestar import Response, get, post
 from litestar.datastructures import State
+from litestar.params import FromPath, FromQuery, JSONBody
 
 from pimentoscale.distribution.patches import PatchSubmission
 from pimentoscale.timeline import Event
@@ -109,7 +110,10 @@
 
 @get("/control/timeline")
 async def get_timeline(
-    state: State, since: int = 0, request_id: str = "", kind: str = ""
+    state: State,
+    since: FromQuery[int] = 0,
+    request_id: FromQuery[str] = "",
+    kind: FromQuery[str] = "",
 ) -> Response[bytes]:
     """Return the events of the timeline that match."""
     events: list[Event] = list(
@@ -126,14 +130,16 @@
 
 
 @post("/control/upstream", status_code=200)
-async def post_upstream(state: State, data: UpstreamAnnouncement) -> Response[bytes]:
+async def post_upstream(
+    state: State, data: JSONBody[UpstreamAnnouncement]
+) -> Response[bytes]:
     """Record the upstream's report that it is serving or draining."""
     state.node.handle_upstream_state(data.state)
     return _send_json(Health(status=data.state, version=state.node.state.version))
 
 
 @post("/control/patches", status_code=202)
-async def post_patch(state: State, data: PatchSubmission) -> Response[bytes]:
+async def post_patch(state: State, data: JSONBody[PatchSubmission]) -> Response[bytes]:
     """Append an operator's patch to the log."""
     is_appended = await state.node.submit_patch(data)
     status = state.node.describe_patch(data.id)
@@ -141,7 +147,7 @@
 
 
 @get("/control/patches/{patch:str}")
-async def get_patch(patch: str, state: State) -> Response[bytes]:
+async def get_patch(patch: FromPath[str], state: State) -> Response[bytes]:
     """Return the state of a patch."""
     return _send_json(state.node.describe_patch(patch))
 
