Compute once a choice what the estimates of all nodes share

For each of up to six drawn nodes it looked up the route's average time, bytes and slope again, and computed decays of zeros.

Change: _RouteEstimate holds what does not depend on the node; decays of an empty queue, and of a load report below this node's own count, are left out. The order of random draws is the same.

--- a/src/pimentoscale/forwarding/placement.py
+++ b/src/pimentoscale/forwarding/placement.py
@@ -140,7 +140,7 @@
 
     def estimate_in_flight(self, *, now: float) -> float:
         """Return how many requests the target has, queued ones included."""
-        if self.load is None:
+        if self.load is None or self.load.in_flight <= self.outstanding:
             return float(self.outstanding)
         decay = math.exp2((self.load_at - now) / LOAD_HALF_LIFE_S)
         return max(float(self.outstanding), self.load.in_flight * decay)
@@ -151,7 +151,7 @@
         The queue of a target that states a rate limit stays as long as callers ask for
         more than the limit, however long ago this node heard of it.
         """
-        if self.load is None:
+        if self.load is None or self.load.queue_ms == 0:
             return 0.0
         is_limited = self.stated is not None and self.stated.rate_limit is not None
         half_life_s = RATE_HALF_LIFE_S if is_limited else LOAD_HALF_LIFE_S
@@ -197,6 +197,10 @@
         """Return the average bytes of a request and its response."""
         return self._bytes.get(route, 0.0)
 
+    def find_slope(self, *, route: str) -> SlowdownSlope | None:
+        """Return the relation of run time to slowdown, None before one was told."""
+        return self._slopes.get(route)
+
     def estimate_excess_ms(self, *, route: str, slowdown: float) -> float:
         """Return by how much a run at a slowdown differs from the average run."""
         slope = self._slopes.get(route)
@@ -243,8 +247,9 @@
         """
         best: NodeView | None = None
         least = math.inf
+        estimate = self._make_estimate(request)
         for view in self._draw(views, request, attempted=attempted, now=now):
-            cost = self.estimate_ms(view, request, now=now)
+            cost = estimate.estimate_ms(view, now=now)
             # Nodes that cost about the same are chosen at random.
             cost *= 1 + 0.02 * self._rng.random()
             if cost < least:
@@ -273,47 +278,91 @@
                 continue
             if view.member.instance in attempted or now < view.ejected_until:
                 continue
-            refused_until = view.refused_until.get(request.route, 0.0)
-            if now < refused_until and not request.is_inner:
+            if not request.is_inner and now < view.refused_until.get(request.route, 0):
                 continue
             yield view
             near, far = near - is_near, far - (not is_near)
             if near == 0 and far == 0:
                 return
 
-    def estimate_ms(
-        self, view: NodeView, request: PlacementRequest, *, now: float
-    ) -> float:
-        """Return the expected time to the response, penalties included."""
-        average_ms = self.averages.get_run_ms(route=request.route)
-        run_ms = average_ms
-        run_time = view.run_times.get(request.route)
-        if run_time is not None:
-            decay = math.exp2((run_time.updated_at - now) / RUN_HALF_LIFE_S)
-            # Measured against the average of all targets: if all of them are slowed
-            # down, as by a service that they call, another target is no better.
-            excess_ms = min(run_time.value_ms, MAX_SLOWDOWN * average_ms) - average_ms
-            run_ms += excess_ms * decay
-        run_ms += self.averages.estimate_excess_ms(
-            route=request.route, slowdown=view.estimate_slowdown(now=now)
+    def _make_estimate(self, request: PlacementRequest) -> "_RouteEstimate":
+        """Return what the estimates of all nodes for a request have in common."""
+        moved_bytes = self.averages.get_bytes(route=request.route)
+        share = ZONE_PENALTY_SHARE + moved_bytes / ZONE_BYTES_PER_OBJECTIVE
+        return _RouteEstimate(
+            route=request.route,
+            zone=request.zone,
+            average_ms=self.averages.get_run_ms(route=request.route),
+            slope=self.averages.find_slope(route=request.route),
+            own_zone_ms=1000 * OWN_ZONE_SHARE * request.objective_s,
+            zone_penalty_ms=1000 * share * request.objective_s,
         )
-        run_ms = max(0.0, run_ms)
-        limit = view.get_limit()
-        usage = (view.estimate_in_flight(now=now) + 1) / limit
-        queue_ms = max(0.0, usage - 1) * run_ms
-        queue_ms = max(queue_ms, view.estimate_queue_ms(now=now))
-        penalty_ms = 0.0
-        own_zone_ms = 1000 * OWN_ZONE_SHARE * request.objective_s
-        if view.member.zone != request.zone:
-            moved_bytes = self.averages.get_bytes(route=request.route)
-            share = ZONE_PENALTY_SHARE + moved_bytes / ZONE_BYTES_PER_OBJECTIVE
-            penalty_ms = 1000 * share * request.objective_s
+
+
+class _RouteEstimate:
+    """Estimates for one request how soon each node responds.
+
+    It holds what does not depend on the node, so that it is computed once a choice.
+    `slope` is None while no target of the route has told a slowdown.
+    """
+
+    __slots__ = (
+        "_average_ms",
+        "_own_zone_ms",
+        "_route",
+        "_slope",
+        "_zone",
+        "_zone_penalty_ms",
+    )
+
+    def __init__(
+        self,
+        *,
+        route: str,
+        zone: str,
+        average_ms: float,
+        slope: SlowdownSlope | None,
+        own_zone_ms: float,
+        zone_penalty_ms: float,
+    ) -> None:
+        self._route = route
+        self._zone = zone
+        self._average_ms = average_ms
+        self._slope = slope
+        self._own_zone_ms = own_zone_ms
+        self._zone_penalty_ms = zone_penalty_ms
+
+    def estimate_ms(self, view: NodeView, *, now: float) -> float:
+        """Return the expected time to the response, penalties included."""
+        run_ms = self._estimate_run_ms(view, now)
+        usage = (view.estimate_in_flight(now=now) + 1) / view.get_limit()
+        queue_ms = view.estimate_queue_ms(now=now)
+        if usage > 1:
+            queue_ms = max(queue_ms, (usage - 1) * run_ms)
+            usage = 1.0
+        cost_ms = run_ms + USAGE_COST_SHARE * usage**2 * run_ms + queue_ms
+        if view.member.zone != self._zone:
             # The cost is at least `own_zone_ms`, so that this node's zone is kept while
             # it is expected to respond within that.
-            penalty_ms = max(penalty_ms, own_zone_ms - run_ms - queue_ms)
+            least_ms = self._own_zone_ms - run_ms - queue_ms
+            cost_ms += max(self._zone_penalty_ms, least_ms)
         if view.is_draining:
-            penalty_ms += DRAINING_PENALTY_MS
+            cost_ms += DRAINING_PENALTY_MS
         if now < view.shedding_until:
-            penalty_ms += SHED_PENALTY_MS
-        usage_ms = USAGE_COST_SHARE * min(1.0, usage) ** 2 * run_ms
-        return run_ms + usage_ms + queue_ms + penalty_ms
+            cost_ms += SHED_PENALTY_MS
+        return cost_ms
+
+    def _estimate_run_ms(self, view: NodeView, now: float) -> float:
+        """Return the expected run time at a node's target."""
+        run_ms = self._average_ms
+        run_time = view.run_times.get(self._route)
+        if run_time is not None:
+            decay = math.exp2((run_time.updated_at - now) / RUN_HALF_LIFE_S)
+            # Measured against the average of all targets: if all of them are slowed
+            # down, as by a service that they call, another target is no better.
+            most_ms = MAX_SLOWDOWN * self._average_ms
+            run_ms += (min(run_time.value_ms, most_ms) - self._average_ms) * decay
+        if self._slope is not None:
+            slowdown = view.estimate_slowdown(now=now)
+            run_ms += self._slope.estimate_excess_ms(slowdown)
+        return max(0.0, run_ms)
