Keep the count of possible calls in place of a sum for each request

Cause: each attempt at a target summed the unattributed requests of all routes, and each answer to a caller sorted the caller routes only to learn that there is no new one.

Change: the sum is kept up to date; the routes are counted, and listed only if their number or the version has changed.

--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -210,9 +210,9 @@
     def _get_importance_range(self) -> tuple[int, int]:
         """Return the least and the greatest importance of caller routes."""
         table = self._state.table
-        names = self.origins.list_caller_routes()
-        key = (self._state.version, len(names))
+        key = (self._state.version, self.origins.count_caller_routes())
         if table is not None and self._importance_range_key != key:
+            names = self.origins.list_caller_routes()
             values = [item.importance for item in table.routes if item.name in names]
             self._importance_range = (min(values, default=0), max(values, default=0))
             self._importance_range_key = key
--- a/src/pimentoscale/forwarding/origins.py
+++ b/src/pimentoscale/forwarding/origins.py
@@ -32,6 +32,7 @@
     __slots__ = (
         "_caller_connections",
         "_caller_routes",
+        "_inner_count",
         "_longest_s",
         "_started_at",
         "_unattributed",
@@ -44,6 +45,8 @@
         self._caller_routes: set[str] = set()
         # Requests of each route on connections not identified as callers'.
         self._unattributed: dict[str, int] = {}
+        # The sum of `_unattributed` over the routes that are no caller routes.
+        self._inner_count = 0
         # The longest time left seen on each route, taken as that of a new request.
         self._longest_s: dict[str, float] = {}
         self.on_caller_route: Callable[[str], None] | None = None
@@ -57,19 +60,27 @@
             self._caller_connections.add(connection)
         if connection not in self._caller_connections:
             self._unattributed[route] = self._unattributed.get(route, 0) + 1
+            self._inner_count += 1
         elif route not in self._caller_routes:
-            self._caller_routes.add(route)
+            self.add_caller_routes([route])
             if self.on_caller_route is not None:
                 self.on_caller_route(route)
 
     def add_caller_routes(self, routes: Iterable[str]) -> None:
-        """Add caller routes that another node has identified."""
-        self._caller_routes.update(routes)
+        """Add caller routes that this node or another one has identified."""
+        new_routes = set(routes) - self._caller_routes
+        self._caller_routes |= new_routes
+        for route in new_routes:
+            self._inner_count -= self._unattributed.get(route, 0)
 
     def list_caller_routes(self) -> list[str]:
         """Return the routes identified as caller routes, sorted by name."""
         return sorted(self._caller_routes)
 
+    def count_caller_routes(self) -> int:
+        """Return how many routes were identified as caller routes."""
+        return len(self._caller_routes)
+
     def remove_connection(self, connection: int) -> None:
         """Remove a connection that was closed."""
         self._caller_connections.discard(connection)
@@ -86,11 +97,7 @@
 
     def count_inner(self) -> int:
         """Return how many requests may have been calls of the local target."""
-        return sum(
-            count
-            for route, count in self._unattributed.items()
-            if route not in self._caller_routes
-        )
+        return self._inner_count
 
     def was_refused(self, route: str, *, remaining_s: float) -> bool:
         """Return whether the time left shows that a caller retries after a refusal."""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -488,6 +488,17 @@
     assert origins.count_inner() == 3
 
 
+def test_requests_of_a_route_identified_late_no_longer_count_as_calls() -> None:
+    origins = OriginTracker(now=0.0)
+    for route in ("ledger", "view", "view"):
+        origins.record_request(connection=1, route=route, target_idle_s=0.0, now=9.0)
+    origins.record_request(connection=2, route="view", target_idle_s=1.0, now=9.0)
+    for _ in range(2):
+        origins.add_caller_routes(["view", "other"])
+    assert origins.count_inner() == 1
+    assert origins.count_caller_routes() == 2
+
+
 def test_budget_is_renewed_as_the_window_slides() -> None:
     budget = RetryBudget(ratio=0.2, slack=1.0, window_s=10.0)
     times = (0.0, 5.0, 10.5)
