Leave out computations for a stop, a queue and a body that are not there

Cause: without a stop, each request computed its limit of the deadline from infinite times, twice. Without a waiting request, the admission computed limit and wait for an empty queue, three times. Messages whose header lines are encoded already encoded an empty list. Each check of a connection of the pool asked its transport for the socket, which is only needed after a long body.

Change: each returns before that.

--- a/src/pimentoscale/admission/urgency.py
+++ b/src/pimentoscale/admission/urgency.py
@@ -151,6 +151,8 @@
     def start_waiting(self, *, now: float) -> Dequeued:
         """Start the waiting requests for which there is a free slot."""
         dequeued = Dequeued()
+        if not self._waiting:
+            return dequeued
         limit = self.get_limit()
         while self._waiting and self.running < limit:
             entry = self._waiting[0]
@@ -260,6 +262,8 @@
 
     def _estimate_wait_ms(self, now: float) -> float:
         """Return how long a request that arrives now waits."""
+        if not self._backlog_ms and self.rate_limit.stated is None:
+            return 0.0
         rate_wait_s = self.rate_limit.estimate_wait_s(ahead=self.queued, now=now)
         return max(self._backlog_ms / self.get_limit(), rate_wait_s * 1000)
 
--- a/src/pimentoscale/http/client.py
+++ b/src/pimentoscale/http/client.py
@@ -115,8 +115,9 @@
             return False
         if transport.get_write_buffer_size() > 0:
             return True
-        sock = transport.get_extra_info("socket")
-        return not self._sent_small_request and _count_unacknowledged(sock) > 0
+        if self._sent_small_request:
+            return False
+        return _count_unacknowledged(transport.get_extra_info("socket")) > 0
 
     async def exchange(
         self,
--- a/src/pimentoscale/http/message.py
+++ b/src/pimentoscale/http/message.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 requests and responses that hold their whole body."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from http import HTTPStatus
 
 import msgspec
@@ -49,8 +49,10 @@
     return [item for item in kept if item[0] not in listed]
 
 
-def encode_headers(headers: Iterable[Header]) -> bytes:
+def encode_headers(headers: Sequence[Header]) -> bytes:
     """Return the headers as header lines, each with its line end."""
+    if not headers:
+        return b""
     return b"".join([b"%b: %b\r\n" % item for item in headers])
 
 
--- a/src/pimentoscale/shutdown/rule.py
+++ b/src/pimentoscale/shutdown/rule.py
@@ -81,6 +81,8 @@
 
     def limit_deadline(self, deadline: float) -> float:
         """Return the deadline to pass on with a request."""
+        if not self.has_begun:
+            return deadline
         return min(deadline, self.targets_due_at)
 
     def may_end(self, *, owed: int, now: float, earliest_s: float) -> bool:
