Split the faults of the soak by what they act on

Seen: soak/faults.py had 454 lines, with a registry, faults of processes, targets, connections and the store, and the restarts that two of these share.

Change: process_faults, target_faults, connection_faults, store_faults and restarts; faults.py lists them by name, in the order of before, since a seed draws them by their positions. The constant that target and process faults shared for two purposes is two now; no value changed.

--- a/src/pimentoscale_bench/soak/run.py
+++ b/src/pimentoscale_bench/soak/run.py
@@ -13,7 +13,8 @@
 from pimentoscale.http import IncompleteResponseError, NotConnectedError
 from pimentoscale_bench.soak.callers import SoakCaller, send_once
 from pimentoscale_bench.soak.deployment import SoakDeployment, SoakNode
-from pimentoscale_bench.soak.faults import FAULTS, FaultContext
+from pimentoscale_bench.soak.fault_context import FaultContext
+from pimentoscale_bench.soak.faults import FAULTS
 from pimentoscale_bench.soak.starvation import STARVED, watch_starvation
 
 CALLERS_PER_NODE = 2
--- /dev/null
+++ b/src/pimentoscale_bench/soak/store_faults.py
@@ -0,0 +1,75 @@
+"""Faults of a soak's store, and changes of the configuration that it holds."""
+
+import asyncio
+
+import httpx
+
+from pimentoscale.http import IncompleteResponseError, NotConnectedError
+from pimentoscale_bench.soak.callers import send_once
+from pimentoscale_bench.soak.deployment import SERVICES, SoakDeployment, SoakNode
+from pimentoscale_bench.soak.fault_context import FaultContext, get_now
+from pimentoscale_bench.soak.record import DISTURBANCE_GRACE_S
+
+# A new configuration version is in force at most this long after its acknowledgement,
+# in seconds (the users' bound).
+CONFIGURATION_BOUND_S = 2.0
+MAX_DEGRADED_S = 5.0
+NOT_FOUND = 404
+# Each fault of the store with the change that repairs it.
+STORE_FAULTS = (
+    ({"is_down": True}, {"is_down": False}),
+    ({"delay_ms": 700}, {"delay_ms": 0}),
+    ({"reject_status": 429}, {"reject_status": 0}),
+    ({"lost_answers": 4, "late_ms": 900}, {"lost_answers": 0}),
+    ({"forget": True}, {"forget": False}),
+)
+
+
+async def degrade_store(context: FaultContext) -> str:
+    """Inject one of `STORE_FAULTS` for a while.
+
+    The store is down or slow, rejects calls with 429 as for lack of space, loses
+    answers, or truncates its log.
+    """
+    faults, repair = context.rng.choice(STORE_FAULTS)
+    with context.deployment.record.track_disturbance("store"):
+        await context.deployment.set_store_faults(**faults)
+        await asyncio.sleep(context.choose_seconds(MAX_DEGRADED_S))
+        await context.deployment.set_store_faults(**repair)
+    return str(faults)
+
+
+async def change_configuration(context: FaultContext) -> str:
+    """Add a route; every undisturbed node must serve it within the bound."""
+    deployment = context.deployment
+    name = deployment.add_route(context.rng.choice(SERVICES))
+    try:
+        await deployment.configure()
+    except httpx.HTTPError as error:
+        # The store is down or loses answers; the next version includes the route.
+        return f"{name} not acknowledged: {error!r}"
+    acknowledged = get_now()
+    await asyncio.sleep(CONFIGURATION_BOUND_S)
+    for node in deployment.nodes:
+        await _check_route(deployment, node, name, acknowledged)
+    return name
+
+
+async def _check_route(
+    deployment: SoakDeployment, node: SoakNode, name: str, acknowledged: float
+) -> None:
+    path = f"/{name}/probe"
+    try:
+        response = await send_once(node.get_address("callers_relay"), path)
+    except (IncompleteResponseError, NotConnectedError, TimeoutError):
+        # The node is down or partitioned, so its routes cannot be checked here; other
+        # checks cover its answers.
+        return
+    is_undisturbed = deployment.record.is_undisturbed(
+        node.name, since=acknowledged - DISTURBANCE_GRACE_S, until=get_now()
+    )
+    if response.status == NOT_FOUND and is_undisturbed:
+        deployment.record.breaches.append(
+            f"{node.name} answers 404 for {name} {CONFIGURATION_BOUND_S} s "
+            "after its version was acknowledged"
+        )
