Share the set-up of a zone and of queued calls among the tests

Seen: test_foreign_entries and test_relay had the same set-up of a zone, two tests of test_node_stopping the same calls of which some wait.

Change: run_one_zone in tests/sidecars.py and start_queued_calls. The second test of queued calls waits now for the stricter of the two conditions. No check changed.

--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -233,3 +233,14 @@
         server.should_exit = True
         server.force_exit = True
         await serving
+
+
+@asynccontextmanager
+async def run_one_zone(*, machines: int) -> AsyncIterator[Deployment]:
+    """Run machines of one service in one zone, whose nodes are ready."""
+    async with run_deployment() as deployment:
+        deployment.configure([make_route("rb", "b")], ["b"])
+        for index in range(machines):
+            await deployment.start_machine(f"m{index}", "b")
+        await deployment.wait_ready()
+        yield deployment
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -59,7 +59,7 @@
 from pimentoscale.stream.connection import connect
 from pimentoscale.stream.frames import FRAMES
 from tests.addresses import HOST
-from tests.sidecars import Deployment, make_route, run_deployment, wait_until
+from tests.sidecars import Deployment, make_route, run_one_zone, wait_until
 from tests.test_platform import SETTINGS, make_announcement, make_configuration
 
 MEMBERS = "keyed.members"
@@ -371,11 +371,7 @@
     """Run a scenario in one zone whose nodes are ready and follow the store."""
 
     async def run() -> None:
-        async with run_deployment() as deployment:
-            deployment.configure([make_route("rb", "b")], ["b"])
-            for index in range(machines):
-                await deployment.start_machine(f"m{index}", "b")
-            await deployment.wait_ready()
+        async with run_one_zone(machines=machines) as deployment:
             await scenario(deployment)
 
     asyncio.run(run())
--- a/tests/test_node_stopping.py
+++ b/tests/test_node_stopping.py
@@ -47,6 +47,26 @@
     return sending
 
 
+async def start_queued_calls(site: Site) -> "list[asyncio.Task[httpx.Response]]":
+    """Send calls of which some run at the upstream of b0 on return, and others wait."""
+    target = site.nodes["b0"]
+    target.upstream.run_s = None
+    runner = target.node._runner
+    # A node that has just started admits few calls at once.
+    sends = [
+        asyncio.create_task(send(site.nodes["f0"], "read", f"x{number}"))
+        for number in range(12)
+    ]
+    await wait_until(
+        lambda: (
+            runner.queued > 0
+            and runner.running == len(target.upstream.runs)
+            and runner.running + runner.queued == runner.in_progress
+        )
+    )
+    return sends
+
+
 def check_answered(response: httpx.Response, *running: RunningNode) -> None:
     assert response.status_code == 200, response.headers
     assert response.headers["pimento-outcome"] == "answered"
@@ -206,20 +226,7 @@
 def test_queued_call_that_outlasts_the_grace_is_answered_truthfully(name: str) -> None:
     async def scenario(site: Site) -> None:
         target = site.nodes["b0"]
-        target.upstream.run_s = None
-        runner = target.node._runner
-        # A node that has just started admits few calls at once.
-        sends = [
-            asyncio.create_task(send(site.nodes["f0"], "read", f"x{number}"))
-            for number in range(12)
-        ]
-        await wait_until(
-            lambda: (
-                runner.queued > 0
-                and runner.running == len(target.upstream.runs)
-                and runner.running + runner.queued == runner.in_progress
-            )
-        )
+        sends = await start_queued_calls(site)
         await stop(site.nodes[name], 2)
         responses = await asyncio.gather(*sends)
         for number, response in enumerate(responses):
@@ -237,15 +244,7 @@
 def test_queued_call_passes_on_no_more_time_than_its_stopping_node_has_left() -> None:
     async def scenario(site: Site) -> None:
         target = site.nodes["b0"]
-        target.upstream.run_s = None
-        runner = target.node._runner
-        sends = [
-            asyncio.create_task(send(site.nodes["f0"], "read", f"x{number}"))
-            for number in range(12)
-        ]
-        await wait_until(
-            lambda: runner.queued > 0 and runner.running == len(target.upstream.runs)
-        )
+        sends = await start_queued_calls(site)
         started = set(target.upstream.runs)
         stopping = asyncio.create_task(stop(target, 4))
         await wait_until(lambda: target.node.state.is_draining)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -24,7 +24,7 @@
 from pimentoscale.store import KeyedRecord, StoreError, TopicReplica
 from pimentoscale.stream import Hello, TopicRecords
 from pimentoscale.stream.frames import PROTOCOL_VERSION
-from tests.sidecars import Deployment, make_route, run_deployment, wait_until
+from tests.sidecars import Deployment, make_route, run_one_zone, wait_until
 
 ZONE = [f"n{index}" for index in range(40)]
 MEMBERS = "keyed.members"
@@ -206,11 +206,7 @@
     """Run a scenario in one zone whose nodes are ready."""
 
     async def run() -> None:
-        async with run_deployment() as deployment:
-            deployment.configure([make_route("rb", "b")], ["b"])
-            for index in range(machines):
-                await deployment.start_machine(f"m{index}", "b")
-            await deployment.wait_ready()
+        async with run_one_zone(machines=machines) as deployment:
             await wait_until(lambda: len(get_readers(deployment)) == 2)
             await scenario(deployment)
 
