Read what came during a suspension before a time-out takes effect

On resuming node-6 answered 502, "no answer in time", with the answers in its socket.

Cause: a process that was stopped finds its time-outs expired, and the event loop handles timers before sockets. So a time-out won over an answer that had come before it. The same in the HTTP client towards the target and, on the own interface, in the wait for a stream and for the upstream.

Change: an expiry that is noticed over 20 ms late takes effect 0.1 s later, so that what came is read. This is less than the 0.15 s by which the entry node waits longer than the target's.

--- a/src/pimentoscale/dispatch/router.py
+++ b/src/pimentoscale/dispatch/router.py
@@ -11,6 +11,7 @@
 from pimentoscale.dispatch.runner import UpstreamRunner
 from pimentoscale.dispatch.selection import TargetSelector
 from pimentoscale.errors import CallError, ErrorKind
+from pimentoscale.expiry import expire_at
 from pimentoscale.logs import get_logger
 from pimentoscale.node.state import NodeState
 from pimentoscale.outcome import Outcome
@@ -284,7 +285,7 @@
             clock=self._state.tick(),
         )
         context.may_have_run = True
-        async with asyncio.timeout_at(context.deadline + ANSWER_MARGIN_S):
+        async with expire_at(context.deadline + ANSWER_MARGIN_S):
             reply, body = await peer.call(
                 frame, request.body, waits_in_silence=not routed.kind.idempotent
             )
--- a/src/pimentoscale/dispatch/runner.py
+++ b/src/pimentoscale/dispatch/runner.py
@@ -23,6 +23,7 @@
 )
 from pimentoscale.configuration import Configuration, Kind
 from pimentoscale.errors import CallError, ErrorKind
+from pimentoscale.expiry import expire_at
 from pimentoscale.ingress import head
 from pimentoscale.logs import get_logger
 from pimentoscale.node.state import NodeState
@@ -173,7 +174,7 @@
         context.deadline = self._state.shutdown.limit_deadline(context.deadline)
         context.may_have_run = True
         try:
-            async with asyncio.timeout_at(context.deadline):
+            async with expire_at(context.deadline):
                 answer = await self._pool.send(
                     connection=connection,
                     request=request,
--- a/src/pimentoscale/dispatch/submission.py
+++ b/src/pimentoscale/dispatch/submission.py
@@ -20,6 +20,7 @@
 from pimentoscale.dispatch.router import Router
 from pimentoscale.dispatch.witnesses import WitnessService
 from pimentoscale.errors import CallError, ErrorKind
+from pimentoscale.expiry import expire_at
 from pimentoscale.logs import get_logger
 from pimentoscale.membership import Member
 from pimentoscale.node.state import NodeState, get_wall_ms
@@ -227,7 +228,7 @@
             now=asyncio.get_running_loop().time(),
             clock=self._state.tick(),
         )
-        async with asyncio.timeout_at(context.deadline + ANSWER_MARGIN_S):
+        async with expire_at(context.deadline + ANSWER_MARGIN_S):
             reply, answer_body = await peer.call(frame, body)
         self._state.observe(reply.clock)
         return read_reply(reply, answer_body)
--- a/src/pimentoscale/http/client.py
+++ b/src/pimentoscale/http/client.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from pimentoscale.expiry import Expiry
 from pimentoscale.http.message import Header, HttpRequest, HttpResponse
 from pimentoscale.logs import get_logger
 from pimentoscale.settings import Address
@@ -146,17 +147,17 @@
         data = request.encode()
         self._limit_unacknowledged(len(data))
         self._transport.write(data)
-        timer = None
+        expiry = None
         if expires_at is not None:
-            timer = loop.call_at(expires_at, self._time_out)
+            expiry = Expiry(expires_at=expires_at, on_expired=self._time_out)
         try:
             return await self._answer
         except asyncio.CancelledError:
             self.close()
             raise
         finally:
-            if timer is not None:
-                timer.cancel()
+            if expiry is not None:
+                expiry.cancel()
             self._buffered.total -= self._received
             self._received = 0
 
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -4,9 +4,11 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any, Protocol
 
 from pimentoscale.call import Body, BodyTruncatedError
+from pimentoscale.expiry import Expiry
 from pimentoscale.logs import get_logger
 from pimentoscale.settings import Address
 from pimentoscale.stream.codec import FrameError
@@ -216,7 +218,9 @@
         if waits_in_silence:
             self._patient.add(frame.query)
         connection.send(frame)  # type: ignore[arg-type]
-        timer = loop.call_later(timeout_s, _time_out, answer)
+        expiry = Expiry(
+            expires_at=loop.time() + timeout_s, on_expired=partial(_time_out, answer)
+        )
         try:
             return await answer
         except TimeoutError as error:
@@ -227,7 +231,7 @@
             self._cancel_query(connection, frame.query)
             raise
         finally:
-            timer.cancel()
+            expiry.cancel()
             self._queries.pop(frame.query, None)
             self._patient.discard(frame.query)
             self._close_if_unused()
