Keep a stream whose last answer may not have been read yet

On resuming node-6 answered 502, peer_lost ("Broken pipe" on the stream), after one answer of node-5 was in its socket. The caller lost a result that existed.

Cause: the node beside a target keeps a silent stream for 8 s while requests run on it, since the other side may only be paused, but for just 2 s once it has sent the answers. The stream was closed 0.16 s before node-6 went on; its first writes failed, and what it had not read was dropped. The same on the own interface.

Change: one rule for both, is_timed_out: a stream is also kept for 8 s if nothing was received since the last answer was sent.

Evidence: tests/test_late_answers.py, two cases failed before (the stream was closed after 3 s), all pass; the cases without a request, which passed before, hold that an idle silent stream is still closed after 2 s.

--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -28,7 +28,7 @@
     RoutesRecord,
     finish_connections,
 )
-from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S, SILENT_WORK_TIMEOUT_S
+from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S, is_timed_out
 
 BACKLOG = 1024
 
@@ -99,15 +99,10 @@
             session.connection.send(self._links.build_heartbeat())
 
     def close_timed_out(self, *, now: float) -> None:
-        """Close the streams with no frame received for `HEARTBEAT_TIMEOUT_S`.
-
-        One whose requests still run is kept up to `SILENT_WORK_TIMEOUT_S`: its sender
-        may only be paused, and may get their answers yet.
-        """
+        """Close the streams that have been silent for too long."""
         for session in list(self._sessions):
-            silent_s = now - session.connection.last_received_at
-            limit_s = SILENT_WORK_TIMEOUT_S if session.tasks else HEARTBEAT_TIMEOUT_S
-            if silent_s > limit_s:
+            is_working = bool(session.tasks)
+            if is_timed_out(session.connection, is_working=is_working, now=now):
                 log.info(
                     "stream from %s closed: no frame received within the time-out",
                     session.remote.instance,
@@ -191,6 +186,7 @@
                 attempt = await self._run_taken(read_forward(frame, now=now))
             if session.connection.is_open:
                 session.connection.send(make_forward_reply(frame.query, attempt))
+                session.connection.answered_at = asyncio.get_running_loop().time()
         finally:
             session.tasks.pop(frame.query, None)
 
--- a/src/pimentoscale/peering/acceptor.py
+++ b/src/pimentoscale/peering/acceptor.py
@@ -41,7 +41,7 @@
     Verdict,
     finish_connections,
 )
-from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S, SILENT_WORK_TIMEOUT_S
+from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S, is_timed_out
 from pimentoscale.stream.transfer import BodyReceiver, BodySender
 from pimentoscale.ticket import WitnessVerdict
 
@@ -132,20 +132,17 @@
             session.connection.send(frame)
 
     def close_silent(self, *, now: float, was_paused: bool) -> None:
-        """Close streams that received nothing for `HEARTBEAT_TIMEOUT_S`.
+        """Close the streams that have been silent for too long.
 
-        One whose calls still run is kept up to `SILENT_WORK_TIMEOUT_S`: its sender may
-        only be paused, and may get their answers yet. After a pause of this process the
-        time-out starts again, since the pause itself kept it from reading what was
-        sent.
+        After a pause of this process the time-out starts again, since the pause itself
+        kept it from reading what was sent.
         """
         for session in list(self._sessions):
             connection = session.connection
             is_working = bool(session.active_calls)
-            limit_s = SILENT_WORK_TIMEOUT_S if is_working else HEARTBEAT_TIMEOUT_S
             if was_paused:
                 connection.last_received_at = now
-            elif now - connection.last_received_at > limit_s:
+            elif is_timed_out(connection, is_working=is_working, now=now):
                 log.info(
                     "nothing received from %s in time; stream closed",
                     session.remote.instance,
@@ -274,6 +271,7 @@
             log.warning("answer body truncated: %s", error, request=frame.request)
         finally:
             session.active_calls.pop(frame.call, None)
+            connection.answered_at = asyncio.get_running_loop().time()
 
     async def _run(self, frame: Call, body: Body) -> tuple[Answer, int]:
         now = asyncio.get_running_loop().time()
--- a/src/pimentoscale/stream/connection.py
+++ b/src/pimentoscale/stream/connection.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -32,6 +33,7 @@
         "_pending",
         "_reader",
         "_transport",
+        "answered_at",
         "last_received_at",
         "remote",
     )
@@ -50,6 +52,8 @@
         self._is_finished = False
         self.remote: Hello | None = None
         self.last_received_at = loop.time()
+        # When the owner last sent the end of an answer.
+        self.answered_at = -math.inf
 
     @property
     def is_open(self) -> bool:
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -465,6 +465,19 @@
             pending.receiver.body.fail("the peer was lost")
 
 
+def is_timed_out(connection: Connection, *, is_working: bool, now: float) -> bool:
+    """Return whether an accepted connection is to be closed for its silence.
+
+    While the other side waits for answers, or may not have read the last one yet, it is
+    kept up to `SILENT_WORK_TIMEOUT_S`: that side may only be paused.
+    """
+    is_read = connection.answered_at < connection.last_received_at
+    limit_s = HEARTBEAT_TIMEOUT_S
+    if is_working or not is_read:
+        limit_s = SILENT_WORK_TIMEOUT_S
+    return now - connection.last_received_at > limit_s
+
+
 def _time_out(answer: "asyncio.Future[Frame]") -> None:
     if not answer.done():
         answer.set_exception(TimeoutError())
@@ -476,4 +489,5 @@
     "PeerLostError",
     "PeerObserver",
     "PeerUnreachableError",
+    "is_timed_out",
 ]
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -15,8 +15,21 @@
 from pimentoscale.http import HttpClient, HttpRequest
 from pimentoscale.settings import Address
 from pimentoscale.stream import Connection, Frame, Listener, Peer, PeerLostError
-from pimentoscale.stream.frames import FetchRoutes, RoutesRecord
+from pimentoscale.stream.connection import connect
+from pimentoscale.stream.frames import (
+    PROTOCOL_VERSION,
+    Call,
+    FetchRoutes,
+    Forward,
+    ForwardReply,
+    Hello,
+    Reply,
+    RoutesRecord,
+)
+from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S, SILENT_WORK_TIMEOUT_S
 from tests.addresses import HOST
+from tests.nodes import run_site
+from tests.sidecars import run_one_zone, wait_until
 from tests.test_peers import make_pool
 
 TIMEOUT_S = 0.3
@@ -202,3 +215,87 @@
         return time.monotonic() - began
 
     assert uvloop.run(run()) < READING_S
+
+
+FORWARD = Forward(
+    query=1,
+    identity="x",
+    service="b",
+    route="rb",
+    idempotent=True,
+    importance=1,
+    inner=False,
+    returning=False,
+    timeout_ms=1000,
+    objective_ms=1000,
+    method=b"GET",
+    path=b"/rb/x",
+    lines=b"host: pimento.example\r\nattempt-id: x\r\n",
+    body=b"",
+)
+CALL = Call(
+    call=1,
+    submission=False,
+    kind="read",
+    version=1,
+    caller="tests",
+    request="x",
+    ticket="",
+    method="POST",
+    path="/x",
+    headers=[],
+    timeout_ms=1000,
+    retries=0,
+    depth=0,
+    work_ms=0,
+    body_bytes=0,
+    body=b"",
+    more=False,
+    clock=0,
+)
+
+
+async def check_silence(address: Address, request: Frame | None) -> None:
+    """Check how long a node keeps the stream of another one that falls silent.
+
+    With a request the other node falls silent before it has read the answer.
+    """
+    connection = await connect(address)
+    hello = Hello(protocol=PROTOCOL_VERSION, instance="x0", incarnation=1, zone="z1")
+    await connection.exchange_hello(hello=hello)
+    replies: list[Frame] = []
+    running = asyncio.create_task(connection.run(replies.append))
+    if request is not None:
+        connection.send(request)
+        await wait_until(
+            lambda: any(isinstance(reply, ForwardReply | Reply) for reply in replies)
+        )
+    await asyncio.sleep(HEARTBEAT_TIMEOUT_S + 1)
+    assert connection.is_open == (request is not None)
+    async with asyncio.timeout(SILENT_WORK_TIMEOUT_S):
+        await asyncio.wait({running})
+    connection.close()
+
+
+@pytest.mark.parametrize("request_frame", [FORWARD, None])
+def test_stream_with_an_answer_that_may_not_be_read_yet_is_kept_longer(
+    request_frame: Frame | None,
+) -> None:
+    async def run() -> None:
+        async with run_one_zone(machines=1) as deployment:
+            machine = deployment.machines["m0"]
+            await check_silence(machine.settings.stream, request_frame)
+
+    uvloop.run(run())
+
+
+@pytest.mark.parametrize("request_frame", [CALL, None])
+def test_own_stream_with_an_answer_that_may_not_be_read_yet_is_kept_longer(
+    request_frame: Frame | None,
+) -> None:
+    async def run() -> None:
+        async with run_site() as site:
+            running = await site.start("b0", "back")
+            await check_silence(running.node.state.settings.stream, request_frame)
+
+    uvloop.run(run())
