--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -4,9 +4,11 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any, Protocol
 
 from pimentoscale.call import Body, BodyTruncatedError
+from pimentoscale.expiry import Expiry
 from pimentoscale.logs import get_logger
 from pimentoscale.settings import Address
 from pimentoscale.stream.codec import FrameError
@@ -216,7 +218,9 @@
         if waits_in_silence:
             self._patient.add(frame.query)
         connection.send(frame)  # type: ignore[arg-type]
-        timer = loop.call_later(timeout_s, _time_out, answer)
+        expiry = Expiry(
+            expires_at=loop.time() + timeout_s, on_expired=partial(_time_out, answer)
+        )
         try:
             return await answer
         except TimeoutError as error:
@@ -227,7 +231,7 @@
             self._cancel_query(connection, frame.query)
             raise
         finally:
-            timer.cancel()
+            expiry.cancel()
             self._queries.pop(frame.query, None)
             self._patient.discard(frame.query)
             self._close_if_unused()
@@ -467,6 +471,19 @@
             pending.receiver.body.fail("the peer was lost")
 
 
+def is_timed_out(connection: Connection, *, is_working: bool, now: float) -> bool:
+    """Return whether an accepted connection is to be closed for its silence.
+
+    While the other side waits for answers, or may not have read the last one yet, it is
+    kept up to `SILENT_WORK_TIMEOUT_S`: that side may only be paused.
+    """
+    is_read = connection.answered_at < connection.last_received_at
+    limit_s = HEARTBEAT_TIMEOUT_S
+    if is_working or not is_read:
+        limit_s = SILENT_WORK_TIMEOUT_S
+    return now - connection.last_received_at > limit_s
+
+
 def _time_out(answer: "asyncio.Future[Frame]") -> None:
     if not answer.done():
         answer.set_exception(TimeoutError())
@@ -478,4 +495,5 @@
     "PeerLostError",
     "PeerObserver",
     "PeerUnreachableError",
+    "is_timed_out",
 ]
