Take the late calls of the own target on all routes

From 3 s after SIGTERM a node refused all requests on routes that callers use, or on which it had seen fewer than 30 requests, as callers' requests. Calls that its own target makes for requests in progress were among them: the target answered 500 to a request that had been accepted. A node that had just been restarted refused all calls so.

No header tells a call, and each connection is closed after its next answer by then. But a call expires by the deadline of the request for which it is made, and the node knows the deadlines that it has passed on. What expires later than all of them, or comes while nothing runs, is a caller's request and is refused as before; the rest is taken if it is expected to end in time.

test_late_call_of_an_accepted_request_is_taken_on_a_route_that_callers_use fails before (the call gets 503) and passes after, for safe and unsafe routes. test_stopping_node_refuses_callers_that_still_send still passes. Not told apart: a late caller that waits for less time than the target may still run. It is answered as expected, or refused by the rule of the stop.

--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -50,6 +50,9 @@
 # Calls of the local target that come when callers are refused already must be expected
 # to end in this multiple of the average time of their route.
 LATE_RUN_TIME_FACTOR = 2.0
+# A call expires with the request for which the local target makes it. On its way to
+# this node it may be late by this much.
+CALL_DELAY_S = 0.5
 # Time left that is assumed if the sender states none.
 DEFAULT_REMAINING_S = 60.0
 # Rough size of the head of a request or a response.
@@ -119,7 +122,8 @@
             now=now,
         )
         forward = self._make_forward(request, metadata, route, now)
-        if not self._may_take(forward, now=now):
+        expires_at = now + _get_remaining_s(metadata)
+        if not self._may_take(forward, expires_at=expires_at, now=now):
             error = CallError(kind=ErrorKind.DRAINING, detail="the node stops")
             return self._responses.build_error(error, forward.identity, forward.route)
         history = AttemptHistory()
@@ -140,18 +144,23 @@
             now=asyncio.get_running_loop().time(),
         )
 
-    def _may_take(self, forward: ForwardRequest, *, now: float) -> bool:
+    def _may_take(
+        self, forward: ForwardRequest, *, expires_at: float, now: float
+    ) -> bool:
         """Return whether to take a request, which may come late in a stop.
 
         Calls of the local target are taken longer than requests of callers, since it
-        still runs requests that need them; callers should go to another node.
+        still runs requests that need them; callers should go to another node. On routes
+        that callers use as well, `expires_at` tells: what the sender waits for longer
+        than the target may run is no call of it.
         """
         shutdown = self._state.shutdown
         if not shutdown.has_begun:
             return True
         expected_s = self._placement.averages.get_run_ms(route=forward.route) / 1000
         if self._state.refuses_callers:
-            if not forward.is_inner:
+            may_be_call = expires_at <= self._target.last_deadline + CALL_DELAY_S
+            if not (forward.is_inner or may_be_call):
                 return False
             expected_s *= LATE_RUN_TIME_FACTOR
         return shutdown.may_take(expected_s=expected_s, now=now)
@@ -159,9 +168,7 @@
     def _make_forward(
         self, request: HttpRequest, metadata: RequestMetadata, route: Route, now: float
     ) -> ForwardRequest:
-        remaining_s = metadata.remaining_s
-        if remaining_s is None:
-            remaining_s = DEFAULT_REMAINING_S
+        remaining_s = _get_remaining_s(metadata)
         headers = drop_connection_headers(request.headers)
         upstream = self._target.registration.current
         own_service = self._state.settings.upstream_service
@@ -391,6 +398,12 @@
         return budget
 
 
+def _get_remaining_s(metadata: RequestMetadata) -> float:
+    """Return how long the sender waits; long if it does not state it."""
+    remaining_s = metadata.remaining_s
+    return DEFAULT_REMAINING_S if remaining_s is None else remaining_s
+
+
 # Errors after which the node is ejected.
 _EJECTION_ERRORS = (
     ErrorKind.PEER_UNREACHABLE,
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -1,6 +1,7 @@
 """Runs forwarded requests at the upstream beside this node."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from pimentoscale.admission import Entry, Load, RootRequestLimiter, Slot
@@ -75,6 +76,8 @@
         self.registration = UpstreamRegistration(address=settings.upstream)
         self.in_progress = 0
         self._run_count = 0
+        # Deadlines passed on with the requests that run, by their number.
+        self._deadlines: dict[int, float] = {}
         # The start of the upstream whose statements `_queue` holds.
         self._current_start = ""
         self.get_rank: Callable[[int], float] = lambda importance: 0.0
@@ -134,6 +137,14 @@
         """Return how many requests were sent to the upstream."""
         return self._run_count
 
+    @property
+    def last_deadline(self) -> float:
+        """Return the latest deadline of the requests that run; -inf if there is none.
+
+        The calls that the upstream makes for them expire by then.
+        """
+        return max(self._deadlines.values(), default=-math.inf)
+
     def log_rate(self, *, now: float) -> None:
         """Log the rate of sent requests while the upstream states a limit."""
         self._queue.log_rate(now=now)
@@ -301,6 +312,8 @@
             return Attempt.make_not_run(ErrorKind.DEADLINE_BEFORE_RUN)
         message = self._make_message(request, current.identity, remaining_ms)
         self._run_count += 1
+        number = self._run_count
+        self._deadlines[number] = deadline
         try:
             response = await connection.exchange(
                 message,
@@ -321,6 +334,8 @@
         except IncompleteResponseError as error:
             connection.close()
             return Attempt.make_unknown(ErrorKind.UPSTREAM_BROKE, detail=str(error))
+        finally:
+            del self._deadlines[number]
         run_ms = (loop.time() - started) * 1000
         answer = self._messages.read_answer(response, request.identity)
         self._queue.record_load(answer, now=loop.time())
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -467,3 +467,36 @@
         assert loop.time() - began < REFUSE_NODES_S / 2
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("route", ["safe", "once"])
+def test_late_call_of_an_accepted_request_is_taken_on_a_route_that_callers_use(
+    route: str,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.configure([*ROUTES, make_route("top", "a")], ["a", "b"])
+        await deployment.wait_ready()
+        machine = deployment.machines["m1"]
+        statuses: list[int] = []
+
+        async def call_late(request: HttpRequest) -> HttpResponse | None:
+            left_ms = int(request.find(b"deadline-remaining-ms") or b"0")
+            await wait_until(lambda: machine.sidecar.state.refuses_callers)
+            elapsed_ms = int(1000 * (loop.time() - began))
+            response = await deployment.send(
+                "m1", f"/{route}/x", identity="call", remaining_ms=left_ms - elapsed_ms
+            )
+            statuses.append(response.status)
+            return None
+
+        loop = asyncio.get_running_loop()
+        machine.target.run_handler = call_late
+        machine.sidecar.forwarder.origins.add_caller_routes([route])
+        began = loop.time()
+        sending = asyncio.create_task(deployment.send("m1", "/top/x", identity="top"))
+        await wait_until(lambda: deployment.count_runs() == {"top": 1})
+        machine.sidecar.stop()
+        assert (await sending).status == 200
+        assert statuses == [200]
+
+    run_scenario(scenario)
