Watch the settings file from before its first read

A change of the settings file, with or without SIGHUP, that came after the program had read it and before the watch first looked at it was missed: the node kept the old grace period and store until the next change. SIGHUP is ignored until the event loop runs, so a signal did not help.

The state of the file is taken before its first read, and the watch compares with that one.

test_change_between_the_first_read_and_the_start_is_not_missed fails before (no reload within 15 s) and passes after.

--- a/src/pimentoscale/programs/sidecar.py
+++ b/src/pimentoscale/programs/sidecar.py
@@ -38,6 +38,9 @@
 # Operators expect a change of the settings file to take effect within seconds.
 SETTINGS_POLL_S = 1.0
 
+# Inode, size and modification time of a file, which change with its content.
+FileState = tuple[int, int, int]
+
 log = get_logger("sidecar")
 
 
@@ -61,8 +64,13 @@
     )
 
 
-async def serve(settings: SidecarSettings, path: Path) -> None:
-    """Serve until SIGTERM or SIGINT, and then until all requests have ended."""
+async def serve(
+    settings: SidecarSettings, path: Path, *, file_state: FileState | None
+) -> None:
+    """Serve until SIGTERM or SIGINT, and then until all requests have ended.
+
+    `file_state` is that of the settings file before the settings were read.
+    """
     loop = asyncio.get_running_loop()
     configure_structured_logs()
     sidecar = make_sidecar(settings, rng=random.Random(), now=loop.time())
@@ -71,17 +79,23 @@
     loop.add_signal_handler(signal.SIGHUP, reload_settings, sidecar, path)
     await sidecar.start()
     configure_garbage_collector()
-    watcher = asyncio.create_task(watch_settings(sidecar, path))
+    watcher = asyncio.create_task(watch_settings(sidecar, path, last_state=file_state))
     await sidecar.wait_stopped()
     watcher.cancel()
     sidecar.close()
 
 
 async def watch_settings(
-    sidecar: Sidecar, path: Path, *, period_s: float = SETTINGS_POLL_S
+    sidecar: Sidecar,
+    path: Path,
+    *,
+    last_state: FileState | None,
+    period_s: float = SETTINGS_POLL_S,
 ) -> None:
-    """Reload the settings when their file has changed, without waiting for SIGHUP."""
-    last_state = read_file_state(path)
+    """Reload the settings when their file has changed, without waiting for SIGHUP.
+
+    `last_state` is the state of the file before it was last read.
+    """
     while True:
         await asyncio.sleep(period_s)
         state = read_file_state(path)
@@ -90,11 +104,8 @@
             reload_settings(sidecar, path)
 
 
-def read_file_state(path: Path) -> tuple[int, int, int] | None:
-    """Return inode, size and modification time, which change with a file's content.
-
-    Return None if the file can't be examined, for example because it is missing.
-    """
+def read_file_state(path: Path) -> FileState | None:
+    """Return the state of a file, or None if it can't be examined."""
     try:
         status = path.stat()
     except OSError as error:
@@ -116,13 +127,14 @@
 def main() -> None:
     """Run the program."""
     path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
+    file_state = read_file_state(path)
     match read_sidecar_settings(path=path):
         case Err(faults):
             for fault in faults:
                 print(fault, file=sys.stderr)
             sys.exit(EXIT_BAD_SETTINGS)
         case Ok(settings):
-            uvloop.run(serve(settings, path))
+            uvloop.run(serve(settings, path, file_state=file_state))
 
 
 if __name__ == "__main__":
--- a/tests/test_settings_change.py
+++ b/tests/test_settings_change.py
@@ -6,15 +6,18 @@
 
 import pytest
 
+from pimentoscale.forwarding.node import Sidecar
 from pimentoscale.forwarding.retries import LEAF_SHARE, RetryBudget
-from pimentoscale.forwarding.settings import merge_settings
+from pimentoscale.forwarding.settings import SidecarSettings, merge_settings
+from pimentoscale.platform.settings import SETTINGS_VARIABLE
+from pimentoscale.programs import sidecar as program
 from pimentoscale.programs.sidecar import (
     read_file_state,
     reload_settings,
     watch_settings,
 )
 from pimentoscale.settings import Address
-from tests.sidecars import Deployment, run_deployment, wait_until
+from tests.sidecars import WAIT_S, Deployment, run_deployment, wait_until
 from tests.test_platform import SETTINGS, get_settings
 
 OTHER = Address(host="10.9.9.9", port=99)
@@ -59,7 +62,12 @@
     machine = await deployment.start_machine("m1", "a")
     path.write_text(SETTINGS)
     watcher = asyncio.create_task(
-        watch_settings(machine.sidecar, path, period_s=POLL_S)
+        watch_settings(
+            machine.sidecar,
+            path,
+            last_state=read_file_state(path),
+            period_s=POLL_S,
+        )
     )
     await asyncio.sleep(0)
     state = machine.sidecar.state
@@ -88,3 +96,32 @@
 
 def test_missing_file_has_no_state(tmp_path: Path) -> None:
     assert read_file_state(tmp_path / "none") is None
+
+
+def test_change_between_the_first_read_and_the_start_is_not_missed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "node.conf"
+    path.write_text(SETTINGS)
+    graces: list[float] = []
+
+    async def start_with_new_file(sidecar: Sidecar) -> None:
+        graces.append(sidecar.state.settings.stop_grace_s)
+        path.write_text(SETTINGS.replace("grace_s=6", "grace_s=11"))
+
+    def reload(sidecar: Sidecar, settings: SidecarSettings) -> None:
+        graces.append(settings.stop_grace_s)
+        sidecar._stopped.set()
+
+    async def wait_stopped(sidecar: Sidecar) -> None:
+        async with asyncio.timeout(WAIT_S):
+            await sidecar._stopped.wait()
+
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    monkeypatch.setattr(Sidecar, "start", start_with_new_file)
+    monkeypatch.setattr(Sidecar, "reload", reload)
+    monkeypatch.setattr(Sidecar, "wait_stopped", wait_stopped)
+    monkeypatch.setattr(program, "configure_structured_logs", lambda: None)
+    monkeypatch.setattr(program, "configure_garbage_collector", lambda: None)
+    program.main()
+    assert graces == [6.0, 11.0]
