Keep connections to an old store out of the new client

After a change of the store's address, the call that was in progress, such as a waiting read, gave its connection to the pool of the new client. The next calls used it: the node went on to read members and configuration from the old store, and wrote its own record there, as long as that one answered.

A call returns its connection to the client that opened it, and closes it if that is no longer in use.

test_calls_after_a_change_of_the_store_do_not_use_its_old_connections fails before (the new store's record is not read) and passes after.

--- a/src/pimentoscale/platform/store.py
+++ b/src/pimentoscale/platform/store.py
@@ -148,8 +148,10 @@
     async def _call(
         self, kind: str, path: str, body: bytes, timeout_s: float
     ) -> HttpResponse:
+        # Another address may be set meanwhile.
+        client = self._client
         method = b"POST" if kind == "append" else b"GET"
-        headers = [(b"host", str(self._client.address).encode())]
+        headers = [(b"host", str(client.address).encode())]
         request = HttpRequest(
             method=method, path=path.encode(), headers=headers, body=body
         )
@@ -157,8 +159,8 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout_s):
-                connection = await self._client.acquire(now=loop.time())
-                response = await self._exchange(connection, request)
+                connection = await client.acquire(now=loop.time())
+                response = await self._exchange(client, connection, request)
         except (TimeoutError, NotConnectedError, IncompleteResponseError) as error:
             reason = str(error) or f"no answer in {timeout_s:.1f} s"
             raise StoreError(f"{path}: {reason}") from error
@@ -171,7 +173,10 @@
         return response
 
     async def _exchange(
-        self, connection: HttpClientConnection, request: HttpRequest
+        self,
+        client: HttpClient,
+        connection: HttpClientConnection,
+        request: HttpRequest,
     ) -> HttpResponse:
         loop = asyncio.get_running_loop()
         try:
@@ -181,7 +186,9 @@
             connection.close()
             raise
         finally:
-            self._client.release(connection, now=loop.time())
+            if client is not self._client:
+                connection.close()
+            client.release(connection, now=loop.time())
 
 
 def decode_page(data: bytes, *, offset: int) -> RecordPage:
--- a/tests/test_settings_change.py
+++ b/tests/test_settings_change.py
@@ -10,6 +10,7 @@
 from pimentoscale.forwarding.retries import LEAF_SHARE, RetryBudget
 from pimentoscale.forwarding.settings import SidecarSettings, merge_settings
 from pimentoscale.platform.settings import SETTINGS_VARIABLE
+from pimentoscale.platform.store import StoreClient
 from pimentoscale.programs import sidecar as program
 from pimentoscale.programs.sidecar import (
     read_file_state,
@@ -17,7 +18,13 @@
     watch_settings,
 )
 from pimentoscale.settings import Address
-from tests.sidecars import WAIT_S, Deployment, run_deployment, wait_until
+from tests.sidecars import (
+    CONFIGURATION_TOPIC,
+    WAIT_S,
+    Deployment,
+    run_deployment,
+    wait_until,
+)
 from tests.test_platform import SETTINGS, get_settings
 
 OTHER = Address(host="10.9.9.9", port=99)
@@ -125,3 +132,22 @@
     monkeypatch.setattr(program, "configure_garbage_collector", lambda: None)
     program.main()
     assert graces == [6.0, 11.0]
+
+
+def test_calls_after_a_change_of_the_store_do_not_use_its_old_connections() -> None:
+    async def run() -> None:
+        async with run_deployment() as old, run_deployment() as new:
+            store = StoreClient(address=old.store)
+            waiting = asyncio.create_task(
+                store.read(topic=CONFIGURATION_TOPIC, offset=0, wait_ms=500)
+            )
+            await wait_until(lambda: store._client.counts.opened == 1)
+            store.use_address(new.store)
+            new.write(b"x")
+            assert not (await waiting).records
+            for _ in range(2):
+                page = await store.read(topic=CONFIGURATION_TOPIC, offset=0, wait_ms=0)
+                assert len(page.records) == 1
+            store.close()
+
+    asyncio.run(run())
