Keep the attempt of a safe request through a silence

After 2 s without a frame from the node beside the target, safe requests there were given up: cancelled at a target that was at work, and attempted elsewhere if the limits allowed it. Callers got 502 where there was no other target, or no retry left, and 504 where the other target was slower, also after a SIGTERM of their own node. A node that is starved or paused for 2 s looks the same as a lost one.

A silence is now reported to the sender of a safe query (PeerSilentError), which goes on to wait for the answer. The request is run elsewhere as well, within the same limits as a retry; the first answer counts, and the other attempt is cancelled then. Unsafe requests wait as before. No task is added to a request as long as there is no silence.

Not changed: calls on the own interface.

--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable
+from typing import Any
 
 from msgspec.structs import replace
 
@@ -34,8 +36,10 @@
 from pimentoscale.routes import Route, WeightedRoundRobin
 from pimentoscale.stream import (
     ForwardReply,
+    Frame,
     FrameError,
     PeerLostError,
+    PeerSilentError,
     PeerUnreachableError,
 )
 from pimentoscale.suspension import read_suspended_s
@@ -234,7 +238,8 @@
         """
         loop = asyncio.get_running_loop()
         budget = self._get_budget(forward.service)
-        budget.record_request(now=loop.time())
+        if not history.nodes:
+            budget.record_request(now=loop.time())
         placement = PlacementRequest(
             route=forward.route,
             zone=self._state.settings.zone,
@@ -253,7 +258,11 @@
             if view is None or now >= get_deadline(forward):
                 break
             history.nodes.append(view.member.instance)
-            attempt = await self._attempt(view, forward)
+            try:
+                attempt = await self._attempt(view, forward)
+            except PeerSilentError as silence:
+                await self._run_in_silence(silence, view, forward, route, history)
+                break
             self._record_attempt(view, forward, attempt, now=loop.time())
             history.last = attempt
             history.arrivals += attempt.arrived
@@ -290,6 +299,71 @@
             return False
         return budget.try_retry(calls_others=attempt.calls_others, now=now)
 
+    async def _run_in_silence(
+        self,
+        silence: PeerSilentError,
+        view: NodeView,
+        forward: ForwardRequest,
+        route: Route,
+        history: AttemptHistory,
+    ) -> None:
+        """Wait for the answer of a silent node, and run the request elsewhere as well.
+
+        The node may only be paused, with the target at work, so its attempt is not
+        given up before another target has answered.
+        """
+        attempt = Attempt.make_unknown(ErrorKind.PEER_LOST, detail=str(silence))
+        self._record_attempt(
+            view, forward, attempt, now=asyncio.get_running_loop().time()
+        )
+        history.last = attempt
+        history.may_have_run = True
+        history.arrivals += 1
+        other: asyncio.Task[None] | None = None
+        if self._may_continue(
+            attempt, history, forward, route, self._get_budget(forward.service)
+        ):
+            other = asyncio.create_task(self._run(forward, route, history))
+        view.outstanding += 1
+        try:
+            await self._wait_for_either(silence.answer, other, view, forward, history)
+        finally:
+            view.outstanding -= 1
+            silence.answer.cancel()
+            if other is not None:
+                other.cancel()
+
+    async def _wait_for_either(
+        self,
+        answer: "asyncio.Future[Frame]",
+        other: "asyncio.Task[None] | None",
+        view: NodeView,
+        forward: ForwardRequest,
+        history: AttemptHistory,
+    ) -> None:
+        """Wait for the answer of a silent node, or for that of another attempt."""
+        loop = asyncio.get_running_loop()
+        waiting: set[asyncio.Future[Any]] = {answer}
+        if other is not None:
+            waiting.add(other)
+        while waiting:
+            timeout_s = get_deadline(forward) + ANSWER_GRACE_S - loop.time()
+            done, waiting = await asyncio.wait(
+                waiting, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not done:
+                return
+            if other in done and other is not None:
+                other.result()
+            if history.last is not None and history.last.response is not None:
+                return
+            if answer in done:
+                attempt = await _receive(answer)
+                self._record_attempt(view, forward, attempt, now=loop.time())
+                if attempt.response is not None:
+                    history.last = attempt
+                    return
+
     async def _attempt(self, view: NodeView, forward: ForwardRequest) -> Attempt:
         view.outstanding += 1
         try:
@@ -307,19 +381,17 @@
             remaining_s = max(0.0, get_deadline(forward) - now)
             frame = make_forward(forward, remaining_s=remaining_s, stated=view.stated)
             timeout_s = remaining_s + ANSWER_GRACE_S
-            # Work that must not run again is not given up for a silence.
-            answer = await peer.query(
-                frame, timeout_s=timeout_s, waits_in_silence=not forward.idempotent
+            # Work that must not run again is awaited in a silence; other work is also
+            # run elsewhere then.
+            answering = peer.query(
+                frame,
+                timeout_s=timeout_s,
+                waits_in_silence=not forward.idempotent,
+                reports_silence=forward.idempotent,
             )
-            if not isinstance(answer, ForwardReply):
-                raise FrameError("the answer is of another kind")
-            return read_forward_reply(answer)
         except PeerUnreachableError as error:
             return Attempt.make_not_run(ErrorKind.PEER_UNREACHABLE, detail=str(error))
-        except PeerLostError as error:
-            return Attempt.make_unknown(ErrorKind.PEER_LOST, detail=str(error))
-        except FrameError as error:
-            return Attempt.make_unknown(ErrorKind.ANSWER_DAMAGED, detail=str(error))
+        return await _receive(answering)
 
     def _record_attempt(
         self, view: NodeView, forward: ForwardRequest, attempt: Attempt, *, now: float
@@ -398,6 +470,21 @@
         return budget
 
 
+async def _receive(answering: Awaitable[Frame]) -> Attempt:
+    """Return the attempt that the answer of another node, or its lack, tells."""
+    try:
+        answer = await answering
+        if not isinstance(answer, ForwardReply):
+            raise FrameError("the answer is of another kind")
+        return read_forward_reply(answer)
+    except PeerUnreachableError as error:
+        return Attempt.make_not_run(ErrorKind.PEER_UNREACHABLE, detail=str(error))
+    except PeerLostError as error:
+        return Attempt.make_unknown(ErrorKind.PEER_LOST, detail=str(error))
+    except FrameError as error:
+        return Attempt.make_unknown(ErrorKind.ANSWER_DAMAGED, detail=str(error))
+
+
 def _get_remaining_s(metadata: RequestMetadata) -> float:
     """Return how long the sender waits; long if it does not state it."""
     remaining_s = metadata.remaining_s
--- a/src/pimentoscale/stream/__init__.py
+++ b/src/pimentoscale/stream/__init__.py
@@ -33,7 +33,12 @@
     TopicRecords,
     Verdict,
 )
-from pimentoscale.stream.peer import Peer, PeerLostError, PeerUnreachableError
+from pimentoscale.stream.peer import (
+    Peer,
+    PeerLostError,
+    PeerSilentError,
+    PeerUnreachableError,
+)
 
 __all__ = [
     "Announcements",
@@ -57,6 +62,7 @@
     "Listener",
     "Peer",
     "PeerLostError",
+    "PeerSilentError",
     "PeerUnreachableError",
     "RecordIntent",
     "Records",
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any, Protocol
 
 from pimentoscale.call import Body, BodyTruncatedError
@@ -53,6 +54,17 @@
     """The frame was sent, and the connection was lost or no answer came in time."""
 
 
+class PeerSilentError(Exception):
+    """Nothing is received from the other side; `answer` may still come.
+
+    Whoever catches this cancels `answer` if it is no longer awaited.
+    """
+
+    def __init__(self, message: str, *, answer: "asyncio.Future[Frame]") -> None:
+        super().__init__(message)
+        self.answer = answer
+
+
 class Query(Protocol):
     """A frame that is answered by one frame with the same query number."""
 
@@ -105,8 +117,8 @@
 
     A retired peer takes no more calls and queries, and closes after the last answer.
     Without a frame for `HEARTBEAT_TIMEOUT_S` the peer is down. Its connection is closed
-    then, unless calls or queries wait on it that were sent with `waits_in_silence`:
-    those are answered if the other side comes back.
+    then, unless calls or queries wait on it that were sent with `waits_in_silence` or
+    `reports_silence`: those are answered if the other side comes back.
     """
 
     def __init__(
@@ -128,6 +140,8 @@
         self._queries: dict[int, asyncio.Future[Frame]] = {}
         # Numbers of the calls and queries that wait for their answer through a silence.
         self._patient: set[int] = set()
+        # Numbers of the queries whose senders are told of a silence.
+        self._reporting: set[int] = set()
         self._is_silent = False
         self._is_retired = False
         self._task: asyncio.Task[None] | None = None
@@ -200,13 +214,18 @@
             raise
 
     async def query(
-        self, frame: Query, *, timeout_s: float, waits_in_silence: bool = False
+        self,
+        frame: Query,
+        *,
+        timeout_s: float,
+        waits_in_silence: bool = False,
+        reports_silence: bool = False,
     ) -> Frame:
         """Send a query and return the frame that answers it.
 
         With `waits_in_silence` it also waits while the other side is silent. Raises
-        `PeerUnreachableError` (not sent) or `PeerLostError` (connection lost, or no
-        answer within `timeout_s`).
+        `PeerUnreachableError` (not sent), `PeerLostError` (connection lost, or no
+        answer within `timeout_s`), or with `reports_silence` `PeerSilentError`.
         """
         connection = self._get_connection()
         frame.query = next(self._numbers)
@@ -215,6 +234,8 @@
         self._queries[frame.query] = answer
         if waits_in_silence:
             self._patient.add(frame.query)
+        if reports_silence:
+            self._reporting.add(frame.query)
         connection.send(frame)  # type: ignore[arg-type]
         timer = loop.call_later(timeout_s, _time_out, answer)
         try:
@@ -228,9 +249,37 @@
             raise
         finally:
             timer.cancel()
-            self._queries.pop(frame.query, None)
-            self._patient.discard(frame.query)
-            self._close_if_unused()
+            self._reporting.discard(frame.query)
+            if self._queries.get(frame.query) is answer:
+                self._end_query(frame.query)
+
+    def _report_silence(self, number: int, message: str) -> None:
+        """Tell the sender of a query of the silence, and wait on for its answer."""
+        answer = self._queries[number]
+        if answer.done():
+            return
+        kept: asyncio.Future[Frame] = asyncio.get_running_loop().create_future()
+        kept.add_done_callback(partial(self._end_kept_query, self._connection, number))
+        self._queries[number] = kept
+        self._patient.add(number)
+        answer.set_exception(PeerSilentError(message, answer=kept))
+
+    def _end_kept_query(
+        self,
+        connection: Connection | None,
+        number: int,
+        answer: "asyncio.Future[Frame]",
+    ) -> None:
+        # Reading the exception marks it as retrieved.
+        has_failed = answer.cancelled() or answer.exception() is not None
+        if has_failed and connection is not None:
+            self._cancel_query(connection, number)
+        self._end_query(number)
+
+    def _end_query(self, number: int) -> None:
+        self._queries.pop(number, None)
+        self._patient.discard(number)
+        self._close_if_unused()
 
     def _cancel_query(self, connection: Connection, number: int) -> None:
         """Cancel a query on the other side, since its answer is no longer awaited."""
@@ -337,6 +386,8 @@
                 self._end_call(number)
                 if self._connection is not None:
                     self._connection.send(Cancel(call=number))
+        for number in list(self._reporting):
+            self._report_silence(number, str(lost))
         for number, answer in self._queries.items():
             if number not in self._patient and not answer.done():
                 answer.set_exception(lost)
@@ -471,5 +522,6 @@
     "Peer",
     "PeerLostError",
     "PeerObserver",
+    "PeerSilentError",
     "PeerUnreachableError",
 ]
