Limit the time of later attempts by the end of the node

A request that a node had taken before its SIGTERM, and that it attempted again after it, got its full time at the next target. Only the first attempt of requests taken later was limited.

The deadline is limited whenever an attempt is made or sent.

test_later_attempt_passes_on_no_more_time_than_the_stopping_node_has fails before (4958 ms passed on, 2580 ms left) and passes after.

--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -255,7 +255,7 @@
                 attempted=history.nodes,
                 now=now,
             )
-            if view is None or now >= get_deadline(forward):
+            if view is None or now >= self._get_deadline(forward):
                 break
             history.nodes.append(view.member.instance)
             try:
@@ -289,7 +289,7 @@
         if attempt.outcome is AttemptOutcome.ANSWERED:
             return False
         now = asyncio.get_running_loop().time()
-        if now >= get_deadline(forward):
+        if now >= self._get_deadline(forward):
             return False
         if attempt.outcome is AttemptOutcome.UNKNOWN and not forward.idempotent:
             return False
@@ -347,7 +347,7 @@
         if other is not None:
             waiting.add(other)
         while waiting:
-            timeout_s = get_deadline(forward) + ANSWER_GRACE_S - loop.time()
+            timeout_s = self._get_deadline(forward) + ANSWER_GRACE_S - loop.time()
             done, waiting = await asyncio.wait(
                 waiting, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
             )
@@ -378,7 +378,7 @@
         try:
             peer = await self._links.get(view.member, now=loop.time())
             now = loop.time()
-            remaining_s = max(0.0, get_deadline(forward) - now)
+            remaining_s = max(0.0, self._get_deadline(forward) - now)
             frame = make_forward(forward, remaining_s=remaining_s, stated=view.stated)
             timeout_s = remaining_s + ANSWER_GRACE_S
             # Work that must not run again is awaited in a silence; other work is also
@@ -393,6 +393,10 @@
             return Attempt.make_not_run(ErrorKind.PEER_UNREACHABLE, detail=str(error))
         return await _receive(answering)
 
+    def _get_deadline(self, forward: ForwardRequest) -> float:
+        """Return a request's deadline, sooner if this node stops meanwhile."""
+        return self._state.shutdown.limit_deadline(get_deadline(forward))
+
     def _record_attempt(
         self, view: NodeView, forward: ForwardRequest, attempt: Attempt, *, now: float
     ) -> None:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -556,3 +556,24 @@
         assert statuses == [200]
 
     run_scenario(scenario)
+
+
+def test_later_attempt_passes_on_no_more_time_than_the_stopping_node_has() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        entry = deployment.machines["m1"].sidecar
+        other = entry.views.find("m3")
+        assert other is not None
+        first, second = await start_waiting(deployment, "m1", run_s=RUN_S)
+        entry.views.put(other.member)
+        entry.state.settings = replace(entry.state.settings, stop_grace_s=3.0)
+        entry.stop()
+        await wait_until(lambda: entry.state.shutdown.has_begun)
+        sent_at = asyncio.get_running_loop().time()
+        deployment.machines["m2"].sidecar.target.refuse_waiting(detail="a test")
+        assert await second == 200
+        left_ms = 1000 * (entry.state.shutdown.targets_due_at - sent_at)
+        headers = deployment.machines["m3"].target.record.headers["second"]
+        assert float(headers["deadline-remaining-ms"]) <= left_ms
+        assert await first == 200
+
+    run_scenario(scenario)
