Test that requests in progress keep their configuration

A route that is removed, moved to another service or shortened, and a service that is removed, while a request runs, waits and is attempted again: it is answered by the service and with the limits with which it was taken. The test passes at once; nothing guarded this so far.

--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -558,6 +558,48 @@
     run_scenario(scenario)
 
 
+async def remove_routes(deployment: Deployment) -> None:
+    deployment.configure([], ["a", "b"])
+
+
+async def move_routes(deployment: Deployment) -> None:
+    routes = [make_route("safe", "a"), make_route("once", "a", kind="unsafe")]
+    deployment.configure(routes, ["a", "b"])
+
+
+async def shorten_routes(deployment: Deployment) -> None:
+    routes = [{**route, "timeout_s": 0.2, "max_attempts": 1} for route in ROUTES]
+    deployment.configure(routes, ["a", "b"])
+
+
+async def remove_service(deployment: Deployment) -> None:
+    deployment.configure([make_route("top", "a")], ["a"])
+
+
+@pytest.mark.parametrize(
+    "change", [remove_routes, move_routes, shorten_routes, remove_service]
+)
+def test_requests_in_progress_keep_the_configuration_with_which_they_were_taken(
+    change: Change,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        entry = deployment.machines["m1"].sidecar
+        other = entry.views.find("m3")
+        assert other is not None
+        running, waiting = await start_waiting(deployment, "m1", run_s=RUN_S)
+        entry.views.put(other.member)
+        await change(deployment)
+        await deployment.wait_ready()
+        # The waiting one is attempted again.
+        node = deployment.machines["m2"].sidecar
+        node.target.refuse_waiting(detail="a test")
+        assert await waiting == 200
+        assert await running == 200
+        assert deployment.count_runs() == {"first": 1, "second": 1}
+
+    run_scenario(scenario)
+
+
 def test_later_attempt_passes_on_no_more_time_than_the_stopping_node_has() -> None:
     async def scenario(deployment: Deployment) -> None:
         entry = deployment.machines["m1"].sidecar
