--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable
+from typing import Any
 
 from msgspec.structs import replace
 
@@ -34,8 +36,10 @@
 from pimentoscale.routes import Route, WeightedRoundRobin
 from pimentoscale.stream import (
     ForwardReply,
+    Frame,
     FrameError,
     PeerLostError,
+    PeerSilentError,
     PeerUnreachableError,
 )
 from pimentoscale.suspension import read_suspended_s
@@ -50,6 +54,9 @@
 # Calls of the local target that come when callers are refused already must be expected
 # to end in this multiple of the average time of their route.
 LATE_RUN_TIME_FACTOR = 2.0
+# A call expires with the request for which the local target makes it. On its way to
+# this node it may be late by this much.
+CALL_DELAY_S = 0.5
 # Time left that is assumed if the sender states none.
 DEFAULT_REMAINING_S = 60.0
 # Rough size of the head of a request or a response.
@@ -119,7 +126,8 @@
             now=now,
         )
         forward = self._make_forward(request, metadata, route, now)
-        if not self._may_take(forward, now=now):
+        expires_at = now + _get_remaining_s(metadata)
+        if not self._may_take(forward, expires_at=expires_at, now=now):
             error = CallError(kind=ErrorKind.DRAINING, detail="the node stops")
             return self._responses.build_error(error, forward.identity, forward.route)
         history = AttemptHistory()
@@ -140,18 +148,23 @@
             now=asyncio.get_running_loop().time(),
         )
 
-    def _may_take(self, forward: ForwardRequest, *, now: float) -> bool:
+    def _may_take(
+        self, forward: ForwardRequest, *, expires_at: float, now: float
+    ) -> bool:
         """Return whether to take a request, which may come late in a stop.
 
         Calls of the local target are taken longer than requests of callers, since it
-        still runs requests that need them; callers should go to another node.
+        still runs requests that need them; callers should go to another node. On routes
+        that callers use as well, `expires_at` tells: what the sender waits for longer
+        than the target may run is no call of it.
         """
         shutdown = self._state.shutdown
         if not shutdown.has_begun:
             return True
         expected_s = self._placement.averages.get_run_ms(route=forward.route) / 1000
         if self._state.refuses_callers:
-            if not forward.is_inner:
+            may_be_call = expires_at <= self._target.last_deadline + CALL_DELAY_S
+            if not (forward.is_inner or may_be_call):
                 return False
             expected_s *= LATE_RUN_TIME_FACTOR
         return shutdown.may_take(expected_s=expected_s, now=now)
@@ -159,9 +172,7 @@
     def _make_forward(
         self, request: HttpRequest, metadata: RequestMetadata, route: Route, now: float
     ) -> ForwardRequest:
-        remaining_s = metadata.remaining_s
-        if remaining_s is None:
-            remaining_s = DEFAULT_REMAINING_S
+        remaining_s = _get_remaining_s(metadata)
         headers = drop_connection_headers(request.headers)
         upstream = self._target.registration.current
         own_service = self._state.settings.upstream_service
@@ -227,7 +238,8 @@
         """
         loop = asyncio.get_running_loop()
         budget = self._get_budget(forward.service)
-        budget.record_request(now=loop.time())
+        if not history.nodes:
+            budget.record_request(now=loop.time())
         placement = PlacementRequest(
             route=forward.route,
             zone=self._state.settings.zone,
@@ -243,10 +255,14 @@
                 attempted=history.nodes,
                 now=now,
             )
-            if view is None or now >= get_deadline(forward):
+            if view is None or now >= self._get_deadline(forward):
                 break
             history.nodes.append(view.member.instance)
-            attempt = await self._attempt(view, forward)
+            try:
+                attempt = await self._attempt(view, forward)
+            except PeerSilentError as silence:
+                await self._run_in_silence(silence, view, forward, route, history)
+                break
             self._record_attempt(view, forward, attempt, now=loop.time())
             history.last = attempt
             history.arrivals += attempt.arrived
@@ -273,7 +289,7 @@
         if attempt.outcome is AttemptOutcome.ANSWERED:
             return False
         now = asyncio.get_running_loop().time()
-        if now >= get_deadline(forward):
+        if now >= self._get_deadline(forward):
             return False
         if attempt.outcome is AttemptOutcome.UNKNOWN and not forward.idempotent:
             return False
@@ -283,6 +299,71 @@
             return False
         return budget.try_retry(calls_others=attempt.calls_others, now=now)
 
+    async def _run_in_silence(
+        self,
+        silence: PeerSilentError,
+        view: NodeView,
+        forward: ForwardRequest,
+        route: Route,
+        history: AttemptHistory,
+    ) -> None:
+        """Wait for the answer of a silent node, and run the request elsewhere as well.
+
+        The node may only be paused, with the target at work, so its attempt is not
+        given up before another target has answered.
+        """
+        attempt = Attempt.make_unknown(ErrorKind.PEER_LOST, detail=str(silence))
+        self._record_attempt(
+            view, forward, attempt, now=asyncio.get_running_loop().time()
+        )
+        history.last = attempt
+        history.may_have_run = True
+        history.arrivals += 1
+        other: asyncio.Task[None] | None = None
+        if self._may_continue(
+            attempt, history, forward, route, self._get_budget(forward.service)
+        ):
+            other = asyncio.create_task(self._run(forward, route, history))
+        view.outstanding += 1
+        try:
+            await self._wait_for_either(silence.answer, other, view, forward, history)
+        finally:
+            view.outstanding -= 1
+            silence.answer.cancel()
+            if other is not None:
+                other.cancel()
+
+    async def _wait_for_either(
+        self,
+        answer: "asyncio.Future[Frame]",
+        other: "asyncio.Task[None] | None",
+        view: NodeView,
+        forward: ForwardRequest,
+        history: AttemptHistory,
+    ) -> None:
+        """Wait for the answer of a silent node, or for that of another attempt."""
+        loop = asyncio.get_running_loop()
+        waiting: set[asyncio.Future[Any]] = {answer}
+        if other is not None:
+            waiting.add(other)
+        while waiting:
+            timeout_s = self._get_deadline(forward) + ANSWER_GRACE_S - loop.time()
+            done, waiting = await asyncio.wait(
+                waiting, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not done:
+                return
+            if other in done and other is not None:
+                other.result()
+            if history.last is not None and history.last.response is not None:
+                return
+            if answer in done:
+                attempt = await _receive(answer)
+                self._record_attempt(view, forward, attempt, now=loop.time())
+                if attempt.response is not None:
+                    history.last = attempt
+                    return
+
     async def _attempt(self, view: NodeView, forward: ForwardRequest) -> Attempt:
         view.outstanding += 1
         try:
@@ -297,22 +378,24 @@
         try:
             peer = await self._links.get(view.member, now=loop.time())
             now = loop.time()
-            remaining_s = max(0.0, get_deadline(forward) - now)
+            remaining_s = max(0.0, self._get_deadline(forward) - now)
             frame = make_forward(forward, remaining_s=remaining_s, stated=view.stated)
             timeout_s = remaining_s + ANSWER_GRACE_S
-            # Work that must not run again is not given up for a silence.
-            answer = await peer.query(
-                frame, timeout_s=timeout_s, waits_in_silence=not forward.idempotent
+            # Work that must not run again is awaited in a silence; other work is also
+            # run elsewhere then.
+            answering = peer.query(
+                frame,
+                timeout_s=timeout_s,
+                waits_in_silence=not forward.idempotent,
+                reports_silence=forward.idempotent,
             )
-            if not isinstance(answer, ForwardReply):
-                raise FrameError("the answer is of another kind")
-            return read_forward_reply(answer)
         except PeerUnreachableError as error:
             return Attempt.make_not_run(ErrorKind.PEER_UNREACHABLE, detail=str(error))
-        except PeerLostError as error:
-            return Attempt.make_unknown(ErrorKind.PEER_LOST, detail=str(error))
-        except FrameError as error:
-            return Attempt.make_unknown(ErrorKind.ANSWER_DAMAGED, detail=str(error))
+        return await _receive(answering)
+
+    def _get_deadline(self, forward: ForwardRequest) -> float:
+        """Return a request's deadline, sooner if this node stops meanwhile."""
+        return self._state.shutdown.limit_deadline(get_deadline(forward))
 
     def _record_attempt(
         self, view: NodeView, forward: ForwardRequest, attempt: Attempt, *, now: float
@@ -391,6 +474,27 @@
         return budget
 
 
+async def _receive(answering: Awaitable[Frame]) -> Attempt:
+    """Return the attempt that the answer of another node, or its lack, tells."""
+    try:
+        answer = await answering
+        if not isinstance(answer, ForwardReply):
+            raise FrameError("the answer is of another kind")
+        return read_forward_reply(answer)
+    except PeerUnreachableError as error:
+        return Attempt.make_not_run(ErrorKind.PEER_UNREACHABLE, detail=str(error))
+    except PeerLostError as error:
+        return Attempt.make_unknown(ErrorKind.PEER_LOST, detail=str(error))
+    except FrameError as error:
+        return Attempt.make_unknown(ErrorKind.ANSWER_DAMAGED, detail=str(error))
+
+
+def _get_remaining_s(metadata: RequestMetadata) -> float:
+    """Return how long the sender waits; long if it does not state it."""
+    remaining_s = metadata.remaining_s
+    return DEFAULT_REMAINING_S if remaining_s is None else remaining_s
+
+
 # Errors after which the node is ejected.
 _EJECTION_ERRORS = (
     ErrorKind.PEER_UNREACHABLE,
