Limit the processor time of the examples of property tests

Cause: Hypothesis limits each example to 200 ms by the clock, in which other processes run. Change: the same limit for each example, of processor time. Shown: a test that computes for 250 ms fails, one that waits does not.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,14 +1,25 @@
 """Shared fixtures, and the deselection of known failures."""
 
+import functools
 import random
+import time
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
+from hypothesis import settings
 
 from pimentoscale.call import CallContext, RetryBudget
 from pimentoscale.configuration import Configuration, Kind, Service, Zone
 from pimentoscale.ticket import NodeIdentity, Ticket, TicketIssuer
 
+# Processor time of one example of a property test. Hypothesis measures the time of the
+# clock, in which other processes may run.
+EXAMPLE_TIMEOUT_S = 0.2
+settings.register_profile("processor_time", deadline=None)
+settings.load_profile("processor_time")
+
 ROOT = Path(__file__).parents[1]
 SECRET = "a secret for tests only"
 
@@ -30,6 +41,25 @@
         items[:] = [item for item in items if item.nodeid not in known_red]
 
 
+def pytest_itemcollected(item: pytest.Item) -> None:
+    """Limit the processor time of the examples of a property test."""
+    handle = getattr(getattr(item, "obj", None), "hypothesis", None)
+    if handle is not None and not hasattr(handle.inner_test, "__wrapped__"):
+        handle.inner_test = _limit_processor_time(handle.inner_test)
+
+
+def _limit_processor_time(test: Callable[..., Any]) -> Callable[..., Any]:
+    @functools.wraps(test)
+    def run(*args: Any, **kwargs: Any) -> Any:
+        started = time.process_time()
+        result = test(*args, **kwargs)
+        spent_s = time.process_time() - started
+        assert spent_s <= EXAMPLE_TIMEOUT_S, f"the example took {spent_s:.3f} s"
+        return result
+
+    return run
+
+
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     """Print the deselected tests."""
     for name in _read_known_red():
