--- a/src/pimentoscale/http/__init__.py
+++ b/src/pimentoscale/http/__init__.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 messages held in memory as a whole, with a server and a client."""
 
-from pimentoscale.http.client import (
-    HttpClient,
+from pimentoscale.http.client import HttpClient
+from pimentoscale.http.client_connection import (
     HttpClientConnection,
     IncompleteResponseError,
     NotConnectedError,
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -19,7 +19,7 @@
     NotConnectedError,
     OversizedResponseError,
 )
-from pimentoscale.http.client import MAX_RESPONSE_BYTES
+from pimentoscale.http.client_connection import MAX_RESPONSE_BYTES
 from pimentoscale.platform.messages import PlatformMessages
 from pimentoscale.settings import Address
 from tests.addresses import HOST
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -15,7 +15,7 @@
 from pimentoscale.forwarding.origins import OriginTracker
 from pimentoscale.forwarding.stopping import CALLERS_MOVED_S
 from pimentoscale.http import HttpRequest, HttpResponse
-from pimentoscale.http.client import MAX_RESPONSE_BYTES
+from pimentoscale.http.client_connection import MAX_RESPONSE_BYTES
 from pimentoscale.membership import MemberState
 from pimentoscale.membership.member import encode_member
 from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
