Answer all requests that were read before a connection is closed

A stopping sidecar closed each connection with its next answer. A caller that had sent further requests on it meanwhile, which the node had read whole, got no answer to those.

The connection is closed with the answer to the last request that was read.

test_requests_that_a_caller_has_sent_in_a_row_are_all_answered_in_a_stop fails before (one answer of two) and passes after. Not changed: requests that are still in the socket's buffer when the connection closes.

--- a/src/pimentoscale/http/server.py
+++ b/src/pimentoscale/http/server.py
@@ -193,7 +193,8 @@
             log.error("request failed: an unexpected error", exc_info=error)
             response = HttpResponse(status=500)
             keeps_alive = False
-        closes = not keeps_alive or self._server.is_closing
+        # Requests that have been received already are answered before the close.
+        closes = not keeps_alive or (self._server.is_closing and not self._queue)
         to_head = request.method == b"HEAD"
         self._write(response.encode(closes=closes, to_head=to_head))
         self._task = None
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -619,3 +619,24 @@
         assert await first == 200
 
     run_scenario(scenario)
+
+
+def test_requests_that_a_caller_has_sent_in_a_row_are_all_answered_in_a_stop() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        entry = deployment.machines["m1"]
+        address = entry.settings.outgoing
+        deployment.machines["m2"].target.run_s = RUN_S
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        for identity in ("x", "y"):
+            head = f"GET /once/x HTTP/1.1\r\nhost: {HOST_NAME}\r\n"
+            writer.write(f"{head}attempt-id: {identity}\r\n\r\n".encode())
+        await wait_until(lambda: "x" in deployment.count_runs())
+        entry.sidecar.stop()
+        entry.sidecar._outgoing.close_after_response()
+        async with asyncio.timeout(WAIT_S):
+            received = await reader.read(-1)
+        assert received.count(b"HTTP/1.1 200") == 2
+        assert deployment.count_runs() == {"x": 1, "y": 1}
+        writer.close()
+
+    run_scenario(scenario)
