Test that a request at a silent node ends with its caller

The attempt that is kept through a silence, and one of an unsafe request, are cancelled at their target once the caller has left and the stream is back.

--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -345,6 +345,25 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("route", ["safe", "once"])
+def test_request_of_a_silent_node_ends_with_its_caller(route: str) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        entry = deployment.machines["m1"].sidecar
+        relay = await route_through_relay(deployment, "m1", "m2")
+        sending = await start_request(deployment, route, "m2", run_s=WAIT_S)
+        peer = entry.links._peers["m2"]
+        relay.cut()
+        await wait_until(lambda: not peer.is_up)
+        sending.cancel()
+        await wait_until(lambda: not peer.in_progress)
+        relay.heal()
+        record = deployment.machines["m2"].target.record
+        await wait_until(lambda: record.cancelled == {"x"})
+        relay.close()
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("route", ["safe", "once"])
 def test_request_of_a_silent_node_that_is_lost_is_answered_and_forgotten(
     route: str,
