Forget a retired stream that is lost in a silence

A sidecar kept each retired stream whose connection ended while the other side was silent until its own end, since the owner is told only once that a stream is down. Callers saw nothing; the set grew with each such loss.

The end of a retired stream is always told.

test_retired_stream_that_is_lost_in_a_silence_is_forgotten fails before and passes after.

--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -502,7 +502,7 @@
         for answer in self._queries.values():
             if not answer.done():
                 answer.set_exception(lost)
-        if not was_silent:
+        if not was_silent or self._is_retired:
             self._observer.on_down(peer=self)
 
     def _fail_call(self, pending: _PendingCall, lost: PeerLostError) -> None:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -207,6 +207,24 @@
     run_scenario(scenario)
 
 
+def test_retired_stream_that_is_lost_in_a_silence_is_forgotten() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        links = deployment.machines["m1"].sidecar.links
+        relay = await route_through_relay(deployment, "m1", "m2")
+        sending = await start_request(deployment, "once", "m2", run_s=WAIT_S)
+        peer = links._peers["m2"]
+        relay.cut()
+        await wait_until(lambda: not peer.is_up)
+        await leave(deployment)
+        assert peer in links._retired
+        deployment.end_node("m2")
+        relay.close()
+        assert await sending == 502
+        await wait_until(lambda: not links._retired)
+
+    run_scenario(scenario)
+
+
 def test_stream_to_a_former_address_says_nothing_about_the_member() -> None:
     async def scenario(deployment: Deployment) -> None:
         sending = await start_request(deployment, "once", "m2")
