--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -207,6 +207,24 @@
     run_scenario(scenario)
 
 
+def test_retired_stream_that_is_lost_in_a_silence_is_forgotten() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        links = deployment.machines["m1"].sidecar.links
+        relay = await route_through_relay(deployment, "m1", "m2")
+        sending = await start_request(deployment, "once", "m2", run_s=WAIT_S)
+        peer = links._peers["m2"]
+        relay.cut()
+        await wait_until(lambda: not peer.is_up)
+        await leave(deployment)
+        assert peer in links._retired
+        deployment.end_node("m2")
+        relay.close()
+        assert await sending == 502
+        await wait_until(lambda: not links._retired)
+
+    run_scenario(scenario)
+
+
 def test_stream_to_a_former_address_says_nothing_about_the_member() -> None:
     async def scenario(deployment: Deployment) -> None:
         sending = await start_request(deployment, "once", "m2")
@@ -345,6 +363,25 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("route", ["safe", "once"])
+def test_request_of_a_silent_node_ends_with_its_caller(route: str) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        entry = deployment.machines["m1"].sidecar
+        relay = await route_through_relay(deployment, "m1", "m2")
+        sending = await start_request(deployment, route, "m2", run_s=WAIT_S)
+        peer = entry.links._peers["m2"]
+        relay.cut()
+        await wait_until(lambda: not peer.is_up)
+        sending.cancel()
+        await wait_until(lambda: not peer.in_progress)
+        relay.heal()
+        record = deployment.machines["m2"].target.record
+        await wait_until(lambda: record.cancelled == {"x"})
+        relay.close()
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("route", ["safe", "once"])
 def test_request_of_a_silent_node_that_is_lost_is_answered_and_forgotten(
     route: str,
@@ -619,3 +656,24 @@
         assert await first == 200
 
     run_scenario(scenario)
+
+
+def test_requests_that_a_caller_has_sent_in_a_row_are_all_answered_in_a_stop() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        entry = deployment.machines["m1"]
+        address = entry.settings.outgoing
+        deployment.machines["m2"].target.run_s = RUN_S
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        for identity in ("x", "y"):
+            head = f"GET /once/x HTTP/1.1\r\nhost: {HOST_NAME}\r\n"
+            writer.write(f"{head}attempt-id: {identity}\r\n\r\n".encode())
+        await wait_until(lambda: "x" in deployment.count_runs())
+        entry.sidecar.stop()
+        entry.sidecar._outgoing.close_after_response()
+        async with asyncio.timeout(WAIT_S):
+            received = await reader.read(-1)
+        assert received.count(b"HTTP/1.1 200") == 2
+        assert deployment.count_runs() == {"x": 1, "y": 1}
+        writer.close()
+
+    run_scenario(scenario)
