Start sidecars without the configuration of the own interface

Cause: admission/controller.py imported the configuration package for the type of two parameters. So each sidecar loaded patches, fold, records and replica, which only pimento-node uses.

Change: the import is for type checks only.

The largest part that is left and not needed until metrics are asked for is prometheus_client (38 ms by -X importtime); not changed.

--- a/src/pimentoscale/admission/controller.py
+++ b/src/pimentoscale/admission/controller.py
@@ -2,15 +2,19 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from pimentoscale.admission.call_queue import CallQueue, Entry
 from pimentoscale.admission.limit_algorithms import LimitAlgorithm, Sample
 from pimentoscale.admission.slot_shares import Length, SlotShares
-from pimentoscale.configuration import Policy
 from pimentoscale.errors import CallError, ErrorKind
 
+if TYPE_CHECKING:
+    # A sidecar uses no versions of a configuration: it starts sooner without them.
+    from pimentoscale.configuration import Policy
+
 # Part of the limit with which a cold start begins.
 RAMP_START_RATIO = 0.25
 SERVICE_TIME_SMOOTHING = 0.1
@@ -88,7 +92,7 @@
         self,
         *,
         algorithm: LimitAlgorithm,
-        policy: Policy,
+        policy: "Policy",
         long_share: float,
         now: float,
     ) -> None:
@@ -111,7 +115,7 @@
         """Return the number of waiting calls."""
         return sum(len(queue) for queue in self._queues.values())
 
-    def configure(self, *, policy: Policy, long_share: float) -> None:
+    def configure(self, *, policy: "Policy", long_share: float) -> None:
         """Apply a changed configuration."""
         self._policy = policy
         self._shares.set_long_share(long_share)
