Judge in the soak whether answers that were ready are passed on

Change: an own 500, 502 or 504 over 1 s after the run had ended whole is a breach, also after the deadline, unless a fault disturbed the node beside the target meanwhile, or its process had ended. A pause of the node that took the request is no excuse.

Evidence: twelve cases in tests/test_soak.py.

--- a/src/pimentoscale_bench/soak/record.py
+++ b/src/pimentoscale_bench/soak/record.py
@@ -18,6 +18,11 @@
 # period if it was sent at most this long after the SIGTERM (the users' bounds).
 LAST_PART = 1 / 6
 TAKING_S = 3.0
+# The kind of disturbance in which a node's process has ended after a stop.
+DOWN = "down"
+# An answer reaches its caller within this time of the end of the run, though the soak
+# delays connections on both sides.
+DELIVERY_S = 1.0
 # After the grace period, the node is killed within this time (the users' bound).
 AFTER_GRACE_S = 1.0
 
@@ -186,6 +191,14 @@
                 f"{run.began:.3f} to {run.ended:.3f}, cut={run.was_cut}"
             )
 
+        for run in self._find_undelivered_runs(exchange):
+            yield (
+                f"{exchange.identity}, sent at {exchange.sent_at:.3f}, was answered "
+                f"{exchange.status} by {exchange.node} at {exchange.ended_at:.3f}, "
+                f"though {run.node} ran it whole from {run.began:.3f} to "
+                f"{run.ended:.3f}"
+            )
+
     def _find_given_up_runs(self, exchange: Exchange) -> Iterable[Run]:
         """Return the runs in place of whose answers the node gave one without excuse.
 
@@ -200,6 +213,27 @@
             if was_given_up and not self._may_give_up(exchange, run):
                 yield run
 
+    def _find_undelivered_runs(self, exchange: Exchange) -> Iterable[Run]:
+        """Return the runs that ended whole and whose answers were not passed on."""
+        if exchange.is_signed or exchange.status not in OWN_ERROR_STATUSES:
+            return
+        for run in self.timed_runs[exchange.identity]:
+            is_late = exchange.ended_at - run.ended > DELIVERY_S
+            if not run.was_cut and is_late and not self._may_lose_answer(exchange, run):
+                yield run
+
+    def _may_lose_answer(self, exchange: Exchange, run: Run) -> bool:
+        """Return whether a fault beside the target kept an answer from being passed on.
+
+        The node that took the request passes it on even after a pause of its own.
+        """
+        return any(
+            disturbance.breaks_runs or disturbance.kind == DOWN
+            for disturbance in _find_disturbances(
+                self.disturbances, run.node, run.ended, exchange.ended_at
+            )
+        )
+
     def _may_give_up(self, exchange: Exchange, run: Run) -> bool:
         """Return whether a fault or the end of a grace period excuses a cut run.
 
--- a/src/pimentoscale_bench/soak/restarts.py
+++ b/src/pimentoscale_bench/soak/restarts.py
@@ -7,7 +7,7 @@
 
 from pimentoscale_bench.soak.deployment import SoakNode
 from pimentoscale_bench.soak.fault_context import FaultContext, get_now
-from pimentoscale_bench.soak.record import AFTER_GRACE_S, STOP
+from pimentoscale_bench.soak.record import AFTER_GRACE_S, DOWN, STOP
 
 # A reload of the settings lengthens the grace period by up to this.
 MAX_ADDED_GRACE_S = 1.0
@@ -71,7 +71,7 @@
         record.breaches.append(
             f"{node.name} had not ended {stopped_s:.2f} s after SIGTERM"
         )
-    with record.track_disturbance("down", node=node.name, breaks_callers=True):
+    with record.track_disturbance(DOWN, node=node.name, breaks_callers=True):
         if not has_ended:
             deployment.signal_node(node, signal.SIGKILL)
             await deployment.wait_ended(node)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 from pimentoscale_bench.soak.deployment import SoakDeployment
 from pimentoscale_bench.soak.faults import FAULTS
 from pimentoscale_bench.soak.record import (
+    DOWN,
     STOP,
     Disturbance,
     Exchange,
@@ -150,6 +151,44 @@
     assert len(record.find_breaches()) == breaches
 
 
+@pytest.mark.parametrize(
+    ("exchange", "run", "disturbance", "breaches"),
+    [
+        ({}, {}, None, 1),
+        # An answer after the deadline is passed on as well.
+        ({"ended_at": 12.2}, {}, None, 1),
+        ({"status": 200}, {}, None, 0),
+        ({"is_signed": True}, {}, None, 0),
+        ({}, {"ended": 10.9}, None, 0),
+        # A node that was paused passes on what came meanwhile.
+        ({}, {}, ("n", "pause", 10.3), 1),
+        ({}, {}, ("m", "pause", 10.3), 0),
+        ({}, {}, ("m", "kill", 11.2), 0),
+        ({}, {}, ("m", "kill", 11.8), 1),
+        ({}, {}, ("", "starved", 11.2), 0),
+        ({}, {}, ("m", DOWN, 11.2), 0),
+        ({}, {}, ("m", STOP, 10.3), 1),
+    ],
+)
+def test_answer_that_was_ready_and_not_passed_on_is_found(
+    exchange: dict[str, object],
+    run: dict[str, object],
+    disturbance: tuple[str, str, float] | None,
+    breaches: int,
+) -> None:
+    fields: dict[str, object] = {"status": 502, "ended_at": 11.7, **exchange}
+    record = SoakRecord(exchanges=[make_exchange(**fields)])
+    if disturbance is not None:
+        node, kind, began = disturbance
+        breaks_runs = kind not in (STOP, DOWN)
+        record.disturbances.append(
+            Disturbance(node=node, kind=kind, began=began, breaks_runs=breaks_runs)
+        )
+    times: dict[str, object] = {"began": 10.1, "ended": 10.4, **run}
+    record.timed_runs["x"].append(Run(node="m", **times))  # type: ignore[arg-type]
+    assert len(record.find_breaches()) == breaches
+
+
 @pytest.mark.parametrize("node", ["n", "m"])
 @pytest.mark.parametrize(
     ("sent_at", "cut_at", "breaches"),
