Give up answers that a retry or a hedge leaves unread

Seen: a target answers 500 with a body of over 256 KiB, and the call is sent again. The first answer stays in progress at the target's node: it holds a slot until the call's deadline, and the node's stop lasts to the end of its grace. The stream between the two nodes does not close when it is retired.

Cause: the router drops the answer of an attempt that it does not return, but nobody tells the writer of its body, which waits for credit. At the upstream's own node the same body holds its connection and slot. A hedged attempt whose answer is not returned is the same case.

Change: `Body.discard` ends a body that is not read to its end. A body from a stream cancels its call, one from the upstream closes its connection, and a node that stops to send an answer discards the rest of it. The router discards what it does not return.

--- a/src/pimentoscale/call/body.py
+++ b/src/pimentoscale/call/body.py
@@ -17,7 +17,7 @@
 
     A writer that can wait calls `put`; one limited by flow-control credit calls
     `feed`. `on_read` is called with the number of bytes whenever the reader consumes
-    some.
+    some, `on_discard` when the reader gives up a body whose last chunk is to come.
     """
 
     __slots__ = (
@@ -25,17 +25,24 @@
         "_chunks",
         "_error",
         "_is_complete",
+        "_on_discard",
         "_on_read",
         "_reader_waiter",
         "_writer_waiter",
     )
 
-    def __init__(self, *, on_read: Callable[[int], None] | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        on_read: Callable[[int], None] | None = None,
+        on_discard: Callable[[], None] | None = None,
+    ) -> None:
         self._chunks: deque[bytes] = deque()
         self._buffered = 0
         self._is_complete = False
         self._error: BodyTruncatedError | None = None
         self._on_read = on_read
+        self._on_discard = on_discard
         self._reader_waiter: asyncio.Future[None] | None = None
         self._writer_waiter: asyncio.Future[None] | None = None
 
@@ -89,6 +96,16 @@
         self._wake_reader()
         self._wake_writer()
 
+    def discard(self) -> None:
+        """Give up a body that is not read to its end, so that its writer ends too."""
+        self._chunks.clear()
+        self._buffered = 0
+        if self._is_complete or self._error is not None:
+            return
+        self.fail("the reader discarded it")
+        if self._on_discard is not None:
+            self._on_discard()
+
     def take_buffered(self) -> bytes:
         """Remove and return all buffered bytes without waiting."""
         data = b"".join(self._chunks)
--- a/src/pimentoscale/dispatch/router.py
+++ b/src/pimentoscale/dispatch/router.py
@@ -100,6 +100,7 @@
                 routed, answer
             ):
                 return self._make_final_answer(routed, answer)
+            answer.body.discard()
             self._state.metrics.count("retries", context.kind)
             self._state.record(
                 EventName.RETRY_SENT, request=context.request, kind=context.kind
@@ -188,7 +189,9 @@
                 return await first
             self._state.metrics.count("hedges", context.kind)
             attempts.add(asyncio.create_task(self._attempt_at(routed, other)))
-            return await _wait_first_answer(attempts)
+            answer = await _wait_first_answer(attempts)
+            _discard_others(attempts, answer)
+            return answer
         finally:
             for attempt in attempts:
                 attempt.cancel()
@@ -310,6 +313,15 @@
         return answer
 
 
+def _discard_others(attempts: "set[asyncio.Task[Answer]]", kept: Answer) -> None:
+    """Give up the answers that are not returned."""
+    for attempt in attempts:
+        if attempt.done() and attempt.exception() is None:
+            answer = attempt.result()
+            if answer is not kept:
+                answer.body.discard()
+
+
 async def _wait_first_answer(attempts: "set[asyncio.Task[Answer]]") -> Answer:
     """Return the first successful answer, or an error if all attempts failed.
 
--- a/src/pimentoscale/peering/acceptor.py
+++ b/src/pimentoscale/peering/acceptor.py
@@ -267,7 +267,10 @@
             )
             active_call.sender = sender
             connection.send(reply)
-            await sender.send(answer.body)
+            try:
+                await sender.send(answer.body)
+            finally:
+                answer.body.discard()
         except BodyTruncatedError as error:
             # An empty digest marks the body as truncated for the other side.
             connection.send(Chunk(call=frame.call, data=b"", last=True, digest=b""))
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -193,10 +193,7 @@
                 )
             return await pending.reply
         except BaseException:
-            self._end_call(number)
-            if connection.is_open:
-                connection.send(Cancel(call=number))
-            self._close_if_unused()
+            self._cancel_call(connection, number)
             raise
 
     async def query(
@@ -232,6 +229,13 @@
             self._patient.discard(frame.query)
             self._close_if_unused()
 
+    def _cancel_call(self, connection: Connection, number: int) -> None:
+        """End a call here and on the other side, since its answer is not awaited."""
+        self._end_call(number)
+        if connection.is_open:
+            connection.send(Cancel(call=number))
+        self._close_if_unused()
+
     def _cancel_query(self, connection: Connection, number: int) -> None:
         """Cancel a query on the other side, since its answer is no longer awaited."""
         if connection.is_open:
@@ -390,7 +394,10 @@
             return
         if frame.more:
             pending.receiver = BodyReceiver(
-                connection=connection, call=frame.call, first=frame.body
+                connection=connection,
+                call=frame.call,
+                first=frame.body,
+                on_discard=lambda: self._cancel_call(connection, frame.call),
             )
             pending.reply.set_result((frame, pending.receiver.body))
             return
--- a/src/pimentoscale/stream/transfer.py
+++ b/src/pimentoscale/stream/transfer.py
@@ -1,6 +1,7 @@
 """Transfer of bodies on a stream: chunks with flow control, checked by a digest."""
 
 import asyncio
+from collections.abc import Callable
 
 import xxhash
 
@@ -72,13 +73,20 @@
 
     __slots__ = ("_hash", "body")
 
-    def __init__(self, *, connection: Connection, call: int, first: bytes) -> None:
+    def __init__(
+        self,
+        *,
+        connection: Connection,
+        call: int,
+        first: bytes,
+        on_discard: Callable[[], None] | None = None,
+    ) -> None:
         def grant_credit(size: int) -> None:
             if connection.is_open:
                 connection.send(Credit(call=call, size=size))
 
         self._hash = xxhash.xxh3_128(first)
-        self.body = Body(on_read=grant_credit)
+        self.body = Body(on_read=grant_credit, on_discard=on_discard)
         self.body.feed(first)
 
     def add_chunk(self, chunk: Chunk) -> bool:
--- a/src/pimentoscale/upstream/connection.py
+++ b/src/pimentoscale/upstream/connection.py
@@ -54,7 +54,7 @@
         self._is_in_head = True
         self._head_received = 0
         self.headers = []
-        self.body = Body(on_read=self._on_read)
+        self.body = Body(on_read=self._on_read, on_discard=self.close)
         self._write(data)
 
     async def send_body(self, chunk: bytes) -> None:
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -43,6 +43,13 @@
             "idempotent": False,
             "timeout_ms": 20_000,
         },
+        "retried": {
+            "service": "back",
+            "importance": 50,
+            "idempotent": True,
+            "timeout_ms": 20_000,
+            "retries": 2,
+        },
         "page": {
             "service": "front",
             "importance": 50,
@@ -64,6 +71,8 @@
         self.run_s: float | None = 0.0
         self.release = asyncio.Event()
         self.answer_bytes = 2
+        # Statuses of the first runs; those after them answer 200.
+        self.first_statuses: list[int] = []
         self.sub_call = ""
         self.node_url = ""
         self.runs: Counter[str] = Counter()
@@ -88,6 +97,8 @@
             self.cancelled.add(name)
             raise
         self.finished.add(name)
+        if self.first_statuses:
+            status = self.first_statuses.pop(0)
         return HttpResponse(status=status, headers=[], body=b"x" * self.answer_bytes)
 
     async def _make_sub_call(self, request: HttpRequest) -> int:
--- a/tests/test_node_stopping.py
+++ b/tests/test_node_stopping.py
@@ -473,6 +473,25 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("entry", ["f0", "b0"])
+def test_answer_that_a_retry_leaves_unread_does_not_stay_in_progress(
+    entry: str,
+) -> None:
+    async def scenario(site: Site) -> None:
+        target = site.nodes["b0"]
+        target.upstream.first_statuses = [500]
+        # More than the windows of the stream and of the upstream's connection hold.
+        target.upstream.answer_bytes = 3_000_000
+        response = await send(site.nodes[entry], "retried", "x")
+        assert response.status_code == 200
+        assert target.upstream.runs == {"x": 2}
+        await wait_until(lambda: target.node._acceptor.in_progress == 0)
+        await wait_until(lambda: target.node._runner.in_progress == 0)
+        await stop(target, 6)
+
+    run_scenario(scenario)
+
+
 def test_node_ends_though_the_configuration_changes_while_it_ends() -> None:
     async def scenario(site: Site) -> None:
         node = site.nodes["f0"].node
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,11 +1,15 @@
 """Choice of targets, probation and hedging."""
 
+import asyncio
 import random
 
 import pytest
 
 from pimentoscale.admission import Load
+from pimentoscale.call import Answer, Body
 from pimentoscale.configuration import Policy
+from pimentoscale.dispatch.router import _discard_others, _wait_first_answer
+from pimentoscale.outcome import Outcome
 from pimentoscale.routing import (
     ChoiceRequest,
     HedgeBudget,
@@ -113,3 +117,23 @@
     answer(target, 100.0)
     target.record_answer(kind=KIND, latency_ms=10.0, load=make_load(), now=10.0)
     assert target.get_latency_ms(KIND, now=10.0) < 15.0
+
+
+def test_answers_of_other_attempts_are_given_up() -> None:
+    given_up: list[str] = []
+
+    async def make_attempt(name: str, outcome: Outcome) -> Answer:
+        body = Body(on_discard=lambda: given_up.append(name))
+        return Answer(outcome=outcome, status=200, headers=[], body=body)
+
+    async def run() -> None:
+        attempts = {
+            asyncio.create_task(make_attempt("first", Outcome.FAILED)),
+            asyncio.create_task(make_attempt("second", Outcome.ANSWERED)),
+        }
+        kept = await _wait_first_answer(attempts)
+        _discard_others(attempts, kept)
+        assert kept.outcome is Outcome.ANSWERED
+        assert given_up == ["first"]
+
+    asyncio.run(run())
