Refuse requests whose deadline ends a connect to their target

What callers saw: 502 "the target's node was lost in the run", 0.15 s after the deadline, for a request that no target had received.

Cause: a connect to a target that does not answer is given up after 0.6 s, whatever time the request has left. The node that took the request waits for the other node until 0.15 s after the deadline, then takes the request as lost in a run. The node beside the target found out that nothing had been sent only after that.

Change: the connect ends at the deadline, also that of a stop, and the request is refused as not run. If the connect had less than 0.2 s, the target does not count as unreachable: the request came late.

Evidence: test_request_whose_deadline_ends_a_connect_to_its_target_is_refused fails before with 502 and passes, and so does the short case of test_connect_ended_by_a_deadline_tells_of_the_target_only_if_it_was_long. tests/test_sidecar.py, test_http.py and test_stopping.py pass (97 tests, two processes).

--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -43,6 +43,9 @@
 # The target itself responds at the deadline; this node waits this much longer for that
 # response.
 TARGET_DEADLINE_GRACE_S = 0.02
+# A connect that is not answered for this long shows that the target is unreachable,
+# even if the request's deadline ends it.
+SILENT_CONNECT_S = 0.2
 # Limit of connections until the configuration sets one.
 DEFAULT_CONNECTIONS = 128
 # A caller whose route is at its limit should retry after this share of its objective.
@@ -271,14 +274,16 @@
         """Send the request to the upstream on a connection of its pool."""
         loop = asyncio.get_running_loop()
         max_idle_s = None if request.idempotent else MAX_CONNECTION_IDLE_S
+        started = loop.time()
         try:
             connection = await self._client.acquire(
-                now=loop.time(), max_idle_s=max_idle_s
+                now=started,
+                max_idle_s=max_idle_s,
+                expires_at=self.limit_deadline(get_deadline(request)),
             )
         except NotConnectedError as error:
-            return Attempt.make_not_run(
-                ErrorKind.UPSTREAM_UNREACHABLE, detail=str(error)
-            )
+            waited_s = loop.time() - started
+            return _make_not_connected(request, str(error), waited_s, now=loop.time())
         try:
             return await self._exchange(connection, request)
         finally:
@@ -401,3 +406,14 @@
         if stated.rate_limit is not None:
             now = asyncio.get_running_loop().time()
             self._queue.adopt_rate(stated.rate_limit, now=now)
+
+
+def _make_not_connected(
+    request: ForwardRequest, reason: str, waited_s: float, *, now: float
+) -> Attempt:
+    """Return the attempt of a request for which there was no connection."""
+    kind = ErrorKind.UPSTREAM_UNREACHABLE
+    if waited_s < SILENT_CONNECT_S and now >= get_deadline(request):
+        # The target may be well: the request came late.
+        kind = ErrorKind.DEADLINE_BEFORE_RUN
+    return Attempt.make_not_run(kind, detail=reason)
--- a/src/pimentoscale/http/client.py
+++ b/src/pimentoscale/http/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import fcntl
+import math
 import socket
 import struct
 import termios
@@ -351,12 +352,17 @@
         self._in_use = 0
 
     async def acquire(
-        self, *, now: float, max_idle_s: float | None = None
+        self,
+        *,
+        now: float,
+        max_idle_s: float | None = None,
+        expires_at: float = math.inf,
     ) -> HttpClientConnection:
         """Return the idle connection that was used last, or a new one.
 
         With `max_idle_s` an idle one must have been used within that time. Raises
-        `NotConnectedError` if no connection can be opened.
+        `NotConnectedError` if no connection can be opened, at the latest once the event
+        loop's clock reaches `expires_at`.
         """
         while self._idle:
             connection = self._idle.pop()
@@ -373,7 +379,8 @@
             self._idle.pop(0).close()
         if self._in_use >= self.limit:
             raise NotConnectedError(f"all {self.limit} connections are in use")
-        return await self._connect()
+        timeout_s = min(CONNECT_TIMEOUT_S, max(0.0, expires_at - now))
+        return await self._connect(timeout_s=timeout_s)
 
     def release(self, connection: HttpClientConnection, *, now: float) -> None:
         """Return a connection to the pool, or close it if it is not usable."""
@@ -398,12 +405,12 @@
             connection.close()
         self._idle.clear()
 
-    async def _connect(self) -> HttpClientConnection:
+    async def _connect(self, *, timeout_s: float) -> HttpClientConnection:
         loop = asyncio.get_running_loop()
         host, port = self.address.host, self.address.port
         self._in_use += 1
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
                     lambda: HttpClientConnection(buffered=self._buffered), host, port
                 )
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable
+import socket
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace as replace_data
 from typing import Any
 
@@ -11,13 +12,15 @@
 
 from pimentoscale.admission import RootRequestLimiter
 from pimentoscale.forwarding import exchange
-from pimentoscale.forwarding.exchange import ForwardRequest
+from pimentoscale.forwarding.exchange import AttemptOutcome, ForwardRequest
+from pimentoscale.forwarding.forwarder import ANSWER_GRACE_S
 from pimentoscale.forwarding.origins import OriginTracker
 from pimentoscale.forwarding.stopping import CALLERS_MOVED_S
 from pimentoscale.http import HttpRequest, HttpResponse
 from pimentoscale.http.client import MAX_RESPONSE_BYTES
 from pimentoscale.membership import MemberState
 from pimentoscale.membership.member import encode_member
+from pimentoscale.settings import Address
 from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
 from pimentoscale.suspension import read_suspended_s
 from pimentoscale_bench.relay import Relay
@@ -522,6 +525,58 @@
     run_scenario(scenario)
 
 
+@contextlib.contextmanager
+def open_silent_address() -> Iterator[Address]:
+    """Return an address that answers no connect, like that of a machine cut off."""
+    address = find_address()
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind((address.host, address.port))
+        listener.listen(0)
+        # The kernel drops connects once the backlog is full.
+        stack.enter_context(
+            socket.create_connection((address.host, address.port), timeout=1.0)
+        )
+        yield address
+
+
+def test_request_whose_deadline_ends_a_connect_to_its_target_is_refused() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.machines["m1"].sidecar.views.remove("m3")
+        loop = asyncio.get_running_loop()
+        with open_silent_address() as address:
+            deployment.machines["m2"].sidecar.target._client.address = address
+            started = loop.time()
+            response = await deployment.send("m1", "/once/x", remaining_ms=300)
+            elapsed_s = loop.time() - started
+        assert response.status == 503
+        assert response.find(b"retry-after") is not None
+        assert elapsed_s < 0.3 + ANSWER_GRACE_S
+        assert deployment.count_runs() == {}
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("remaining_s", "kind"),
+    [(0.3, "upstream_unreachable"), (0.05, "deadline_before_run")],
+)
+def test_connect_ended_by_a_deadline_tells_of_the_target_only_if_it_was_long(
+    remaining_s: float, kind: str
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        target = deployment.machines["m2"].sidecar.target
+        with open_silent_address() as address:
+            target._client.address = address
+            deadline = asyncio.get_running_loop().time() + remaining_s
+            attempt = await target.run(make_forward_request("b", deadline=deadline))
+        assert attempt.outcome is AttemptOutcome.NOT_RUN
+        assert attempt.error is not None
+        assert attempt.error.kind.value == kind
+
+    run_scenario(scenario)
+
+
 def test_target_that_left_is_not_used_again_after_a_restart_of_its_node() -> None:
     async def scenario(deployment: Deployment) -> None:
         machine = deployment.machines["m2"]
