Send no request on a quiet stream without a sign of life

What callers saw: 502 "the target's node was lost in the run" at the deadline of a request and 0.15 s more, for requests that reached no target.

Cause: zone dyfed-a is cut off from 31.5 to 37.0 s. All but the 3 reset answers named "peer_lost: no answer in time" or "nothing received for 2.x s", between 32 and 36 s, all between dyfed-a and another zone. A silent node is noticed after 2 to 3 s. Until then requests were written to its stream, and what has been written can't be called not run any more, by anybody: the node might have got it. So each request waited for its whole time and ended as lost.

Change: before a request is written to a stream on which nothing was received for 0.25 s, the node sends a heartbeat, which the other side answers at once, and waits for any frame, as long as it waits for a stream that is being opened (0.3 s), once for all requests. Without one nothing is written: the attempt has not run, the node is ejected for its back-off, and the request goes elsewhere at no cost in retries or is refused. On streams in use nothing changes; a request on a quiet one takes one round trip more.

Not changed: what was written in the first quarter second of a silence stays unknown, 502.

Evidence: test_request_is_not_sent_into_the_silence_of_a_node_but_refused (safe and unsafe) fails before with 502, and test_requests_go_elsewhere_before_the_silence_of_a_node_is_noticed fails before too; both pass. The third, about one question for many requests, tests what is new. tests/test_sidecar.py, test_stopping.py, test_stream.py and test_settings_change.py pass (two processes).

--- a/src/pimentoscale/forwarding/links.py
+++ b/src/pimentoscale/forwarding/links.py
@@ -21,7 +21,8 @@
 )
 
 # How long a request waits for a stream that is being opened; connecting and the
-# exchange of hello frames take two round trips.
+# exchange of hello frames take two round trips. It waits as long for a sign of life on
+# a stream that was quiet, which takes one.
 CONNECT_TIMEOUT_S = 0.3
 # Half of the time without a frame after which a stream is closed.
 HEARTBEAT_PERIOD_S = 1.0
@@ -84,9 +85,9 @@
         peer.retire()
 
     async def get(self, member: Member, *, now: float) -> Peer:
-        """Return the stream to a member once it is up.
+        """Return the stream to a member once it is up and known to be received.
 
-        Raises `PeerUnreachableError` if it is not up within `CONNECT_TIMEOUT_S`.
+        Raises `PeerUnreachableError` if it is not within `CONNECT_TIMEOUT_S`.
         """
         peer = self._open(member, now)
         if not peer.is_up:
@@ -96,6 +97,7 @@
                     await event.wait()
             except TimeoutError as error:
                 raise PeerUnreachableError(member.instance) from error
+        await peer.confirm(timeout_s=CONNECT_TIMEOUT_S)
         return peer
 
     def is_up(self, name: str) -> bool:
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -39,6 +39,9 @@
 # again wait for their answers: the other side may only be paused, or cut off for a
 # moment.
 SILENT_WORK_TIMEOUT_S = 8.0
+# Something received within this time shows that the other side still receives. Longer
+# than the pauses on a stream in use, much shorter than the time-out of heartbeats.
+FRESH_S = 0.25
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 2.0
 
@@ -129,6 +132,9 @@
         # Numbers of the calls and queries that wait for their answer through a silence.
         self._patient: set[int] = set()
         self._is_silent = False
+        # Done at the next sign of life, which was asked for at `_asked_at`.
+        self._sign_of_life: asyncio.Future[None] | None = None
+        self._asked_at = 0.0
         self._is_retired = False
         self._task: asyncio.Task[None] | None = None
 
@@ -167,6 +173,35 @@
         """Return how many calls and queries wait for their answers."""
         return len(self._calls) + len(self._queries)
 
+    async def confirm(self, *, timeout_s: float) -> None:
+        """Return once something was received within `FRESH_S`; ask for it if not.
+
+        What is sent to a side that does not receive is lost, and nobody can tell later
+        whether it was. Raises `PeerUnreachableError` if nothing is received within
+        `timeout_s` after the question, which may be that of an earlier call.
+        """
+        connection = self._get_connection()
+        now = asyncio.get_running_loop().time()
+        if now - connection.last_received_at <= FRESH_S:
+            return
+        if self._sign_of_life is None:
+            self._sign_of_life = asyncio.get_running_loop().create_future()
+            self._asked_at = now
+            connection.send(self._observer.build_heartbeat())
+        sign = self._sign_of_life
+        await asyncio.wait({sign}, timeout=max(0.0, self._asked_at + timeout_s - now))
+        if not sign.done():
+            # If this process was paused, what has been received is read only now.
+            await asyncio.sleep(0)
+        if not sign.done():
+            silent_s = asyncio.get_running_loop().time() - connection.last_received_at
+            raise PeerUnreachableError(f"{self.address}: silent for {silent_s:.1f} s")
+
+    def _record_sign_of_life(self) -> None:
+        if self._sign_of_life is not None:
+            self._sign_of_life.set_result(None)
+            self._sign_of_life = None
+
     async def call(
         self, frame: Call, remainder: Body, *, waits_in_silence: bool = False
     ) -> tuple[Reply, Body]:
@@ -354,6 +389,7 @@
     def _handle_frame(
         self, connection: Connection, remote: Hello, frame: Frame
     ) -> None:
+        self._record_sign_of_life()
         match frame:
             case Reply():
                 self._handle_reply(connection, frame)
@@ -442,6 +478,8 @@
             )
         self._connection.close()
         self._connection = None
+        # Those that wait find that there is no connection.
+        self._record_sign_of_life()
         was_silent, self._is_silent = self._is_silent, False
         lost = PeerLostError(str(self.address))
         calls, self._calls = self._calls, {}
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -21,7 +21,7 @@
 from pimentoscale.membership import MemberState
 from pimentoscale.membership.member import encode_member
 from pimentoscale.settings import Address
-from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
+from pimentoscale.stream.peer import FRESH_S, HEARTBEAT_TIMEOUT_S
 from pimentoscale.suspension import read_suspended_s
 from pimentoscale_bench.relay import Relay
 from tests.addresses import find_address
@@ -680,6 +680,69 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("route", ["once", "rb"])
+def test_request_is_not_sent_into_the_silence_of_a_node_but_refused(
+    route: str,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        entry = deployment.machines["m1"].sidecar
+        entry.views.remove("m3")
+        relay = await route_through_relay(deployment, "m1", "m2")
+        relay.cut()
+        await asyncio.sleep(2 * FRESH_S)
+        # Its silence has not been noticed yet.
+        assert entry.links.is_up("m2")
+        response = await deployment.send("m1", f"/{route}/x", remaining_ms=1000)
+        assert response.status == 503
+        assert response.find(b"retry-after") is not None
+        relay.heal()
+        await wait_until(lambda: entry.links.is_up("m2"))
+        # Nothing was under way.
+        view = entry.views.find("m2")
+        assert view is not None
+        view.ejected_until = 0.0
+        assert (await deployment.send("m1", f"/{route}/y", identity="y")).status == 200
+        assert deployment.count_runs() == {"y": 1}
+        relay.close()
+
+    run_scenario(scenario)
+
+
+def test_requests_go_elsewhere_before_the_silence_of_a_node_is_noticed() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        entry = deployment.machines["m1"].sidecar
+        relay = await route_through_relay(deployment, "m1", "m2")
+        relay.cut()
+        await asyncio.sleep(2 * FRESH_S)
+        requests = [deployment.send("m1", "/once/x") for _ in range(10)]
+        responses = await asyncio.gather(*requests)
+        assert entry.links.is_up("m2")
+        assert [response.status for response in responses] == [200] * 10
+        assert set(deployment.count_runs().values()) == {1}
+        relay.close()
+
+    run_scenario(scenario)
+
+
+def test_quiet_node_gets_requests_after_one_sign_of_life_for_all() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        entry = deployment.machines["m1"].sidecar
+        entry.views.remove("m3")
+        peer = entry.links.find_peer("m2")
+        assert peer is not None
+        connection = peer._connection
+        assert connection is not None
+        connection.last_received_at -= 2 * FRESH_S
+        asked_before = peer._asked_at
+        requests = [deployment.send("m1", "/once/x") for _ in range(5)]
+        responses = await asyncio.gather(*requests)
+        assert [response.status for response in responses] == [200] * 5
+        assert peer._asked_at > asked_before
+        assert peer._sign_of_life is None
+
+    run_scenario(scenario)
+
+
 def test_told_load_reaches_other_nodes_and_a_malformed_one_changes_nothing() -> None:
     async def scenario(deployment: Deployment) -> None:
         entry = deployment.machines["m1"].sidecar
