Refuse what a stop ends before it has been handed over

What callers saw: 504 "the deadline passed in the run" from a node that ends, or of whose target the node ends, for a request that still waited for a stream or for a connection to the target.

Cause: the time limit of a stop counted every request in progress as possibly run. Only those in the queue of a target were refused, by a step of their own.

Change: a request knows whether this node has handed it over in the attempt in progress; the mark is set right before the bytes are written, to a target or to the node beside one. What a stop ends before is not run, anything later may have run. AttemptHistory.add holds the rule for all attempts.

Evidence: test_request_that_waits_for_a_stream_when_its_node_ends_is_refused and both cases of test_request_that_waits_for_a_connect_when_its_node_ends_is_refused fail before with 504 and pass. tests/test_sidecar.py, test_stopping.py, test_shutdown.py and test_forwarding.py pass (two processes).

--- a/src/pimentoscale/forwarding/exchange.py
+++ b/src/pimentoscale/forwarding/exchange.py
@@ -104,7 +104,8 @@
     refused before and retries. `suspended_s` is how long the machine had been suspended
     when this node received the request: that clock stands still meanwhile, while the
     sender's goes on. `stated` is what the sending node has heard of the target, None
-    if it has heard of no limit.
+    if it has heard of no limit. `is_handed_over` tells that this node has sent the
+    request to a target or to the node beside one in the attempt in progress.
     """
 
     identity: str
@@ -119,6 +120,7 @@
     message: HttpRequest
     suspended_s: float
     stated: StatedCondition | None = None
+    is_handed_over: bool = False
 
 
 def get_deadline(request: ForwardRequest) -> float:
@@ -161,6 +163,13 @@
         error = CallError(kind=kind, detail=detail)
         return cls(outcome=AttemptOutcome.UNKNOWN, arrived=True, error=error)
 
+    @classmethod
+    def make_interrupted(cls, request: ForwardRequest, *, detail: str) -> "Attempt":
+        """Return the attempt in progress at a request as this node gives it up."""
+        if request.is_handed_over:
+            return cls.make_unknown(ErrorKind.DEADLINE_WHILE_RUNNING, detail=detail)
+        return cls.make_not_run(ErrorKind.DRAINING, detail=detail)
+
 
 class AttemptHistory(msgspec.Struct, kw_only=True):
     """The attempts at one request so far.
@@ -173,3 +182,10 @@
     arrivals: int = 0
     may_have_run: bool = False
     last: Attempt | None = None
+
+    def add(self, attempt: Attempt) -> None:
+        """Add an attempt that has ended."""
+        self.last = attempt
+        self.arrivals += attempt.arrived
+        if attempt.outcome is not AttemptOutcome.NOT_RUN:
+            self.may_have_run = True
--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -127,10 +127,7 @@
             async with self._state.time_limits.limit():
                 await self._run(forward, route, history)
         except TimeoutError:
-            history.last = Attempt.make_unknown(
-                ErrorKind.DEADLINE_WHILE_RUNNING, detail="the node stops"
-            )
-            history.may_have_run = True
+            history.add(Attempt.make_interrupted(forward, detail="the node stops"))
         has_targets = bool(self._views.list(forward.service))
         return self._responses.build(
             forward,
@@ -248,11 +245,7 @@
             history.nodes.append(view.member.instance)
             attempt = await self._attempt(view, forward)
             self._record_attempt(view, forward, attempt, now=loop.time())
-            history.last = attempt
-            history.arrivals += attempt.arrived
-            history.may_have_run = (
-                history.may_have_run or attempt.outcome is not AttemptOutcome.NOT_RUN
-            )
+            history.add(attempt)
             if not self._may_continue(attempt, history, forward, route, budget):
                 break
             if attempt.error is not None and attempt.error.kind in _REFUSAL_ERRORS:
@@ -285,6 +278,7 @@
 
     async def _attempt(self, view: NodeView, forward: ForwardRequest) -> Attempt:
         view.outstanding += 1
+        forward.is_handed_over = False
         try:
             if view.is_own:
                 return await self._target.run(forward)
@@ -300,6 +294,7 @@
             remaining_s = max(0.0, get_deadline(forward) - now)
             frame = make_forward(forward, remaining_s=remaining_s, stated=view.stated)
             timeout_s = remaining_s + ANSWER_GRACE_S
+            forward.is_handed_over = True
             # Work that must not run again is not given up for a silence.
             answer = await peer.query(
                 frame, timeout_s=timeout_s, waits_in_silence=not forward.idempotent
--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -210,6 +210,4 @@
             async with self._state.time_limits.limit():
                 return await self._target.run(request)
         except TimeoutError:
-            return Attempt.make_unknown(
-                ErrorKind.DEADLINE_WHILE_RUNNING, detail="the target's node stops"
-            )
+            return Attempt.make_interrupted(request, detail="the target's node stops")
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -306,6 +306,7 @@
             return Attempt.make_not_run(ErrorKind.DEADLINE_BEFORE_RUN)
         message = self._make_message(request, current.identity, remaining_ms)
         self._run_count += 1
+        request.is_handed_over = True
         try:
             response = await connection.exchange(
                 message,
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -26,7 +26,11 @@
     run_deployment,
     wait_until,
 )
-from tests.test_sidecar import make_forward_request
+from tests.test_sidecar import (
+    make_forward_request,
+    open_silent_address,
+    route_through_relay,
+)
 
 RUN_S = 1.5
 ROUTES = [
@@ -261,6 +265,51 @@
     run_scenario(scenario)
 
 
+def test_request_that_waits_for_a_stream_when_its_node_ends_is_refused() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        node = deployment.machines["m1"].sidecar
+        node.views.remove("m3")
+        relay = await route_through_relay(deployment, "m1", "m2")
+        relay.close()
+        relay.reset()
+        await wait_until(lambda: not node.links.is_up("m2"))
+        node.state.settings = replace(node.state.settings, stop_grace_s=3.0)
+        node.stop()
+        await wait_until(lambda: node.state.shutdown.has_begun)
+        loop = asyncio.get_running_loop()
+        # The wait for the stream outlasts the time of the last answers.
+        await asyncio.sleep(node.state.shutdown.targets_due_at - 0.1 - loop.time())
+        response = await deployment.send("m1", "/once/x")
+        assert loop.time() < node.state.shutdown.ends_at
+        assert response.status == 503
+        assert response.find(b"retry-after") is not None
+        assert deployment.count_runs() == {}
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("entry", ["m1", "m2"])
+def test_request_that_waits_for_a_connect_when_its_node_ends_is_refused(
+    entry: str,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.machines["m1"].sidecar.views.remove("m3")
+        deployment.machines["m2"].sidecar.views.remove("m3")
+        node = deployment.machines["m2"].sidecar
+        with open_silent_address() as address:
+            node.target._client.address = address
+            sending = asyncio.create_task(deployment.send(entry, "/once/x"))
+            await wait_until(lambda: node.target.in_progress == 1)
+            # Its time ends before that of the connect.
+            node.state.settings = replace(node.state.settings, stop_grace_s=0.3)
+            node.stop()
+            response = await sending
+        assert response.status == 503
+        assert deployment.count_runs() == {}
+
+    run_scenario(scenario)
+
+
 def test_waiting_request_goes_elsewhere_at_once_when_its_target_leaves() -> None:
     async def scenario(deployment: Deployment) -> None:
         entry = deployment.machines["m1"].sidecar
