End the waits for another node at the request's deadline

What callers saw: a refusal up to 0.3 s after the deadline, or 0.6 s since a request waits for a sign of life, when the other node had no stream yet or was silent. The node was then ejected though it may have lacked only time.

Cause: the wait for a stream took 0.3 s, whatever time the request had left.

Change: the waits end at the deadline. The attempt's error is then the deadline before the run, which ejects nobody; a silent node is found by requests with more time, or by its silence.

Evidence: test_request_waits_for_a_silent_node_no_longer_than_its_deadline fails before (0.30 s for a request with 0.1 s left) and passes. tests/test_sidecar.py, test_stopping.py, test_peers.py, test_relay.py and test_stated_limits.py pass (two processes).

--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -289,7 +289,9 @@
     async def _send(self, view: NodeView, forward: ForwardRequest) -> Attempt:
         loop = asyncio.get_running_loop()
         try:
-            peer = await self._links.get(view.member, now=loop.time())
+            peer = await self._links.get(
+                view.member, expires_at=get_deadline(forward), now=loop.time()
+            )
             now = loop.time()
             remaining_s = max(0.0, get_deadline(forward) - now)
             frame = make_forward(forward, remaining_s=remaining_s, stated=view.stated)
@@ -303,7 +305,11 @@
                 raise FrameError("the answer is of another kind")
             return read_forward_reply(answer)
         except PeerUnreachableError as error:
-            return Attempt.make_not_run(ErrorKind.PEER_UNREACHABLE, detail=str(error))
+            kind = ErrorKind.PEER_UNREACHABLE
+            if loop.time() >= get_deadline(forward):
+                # The node may be well: the request came late.
+                kind = ErrorKind.DEADLINE_BEFORE_RUN
+            return Attempt.make_not_run(kind, detail=str(error))
         except PeerLostError as error:
             return Attempt.make_unknown(ErrorKind.PEER_LOST, detail=str(error))
         except FrameError as error:
--- a/src/pimentoscale/forwarding/links.py
+++ b/src/pimentoscale/forwarding/links.py
@@ -21,8 +21,7 @@
 )
 
 # How long a request waits for a stream that is being opened; connecting and the
-# exchange of hello frames take two round trips. It waits as long for a sign of life on
-# a stream that was quiet, which takes one.
+# exchange of hello frames take two round trips.
 CONNECT_TIMEOUT_S = 0.3
 # Half of the time without a frame after which a stream is closed.
 HEARTBEAT_PERIOD_S = 1.0
@@ -84,20 +83,22 @@
             log.info("stream to %s kept for %d requests", name, peer.in_progress)
         peer.retire()
 
-    async def get(self, member: Member, *, now: float) -> Peer:
+    async def get(self, member: Member, *, expires_at: float, now: float) -> Peer:
         """Return the stream to a member once it is up and known to be received.
 
-        Raises `PeerUnreachableError` if it is not within `CONNECT_TIMEOUT_S`.
+        Raises `PeerUnreachableError` if it is not up within `CONNECT_TIMEOUT_S`, if the
+        other side gives no sign of life, or once the event loop's clock reaches
+        `expires_at`.
         """
         peer = self._open(member, now)
         if not peer.is_up:
             try:
                 event = self._up[member.instance]
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                async with asyncio.timeout_at(min(expires_at, now + CONNECT_TIMEOUT_S)):
                     await event.wait()
             except TimeoutError as error:
                 raise PeerUnreachableError(member.instance) from error
-        await peer.confirm(timeout_s=CONNECT_TIMEOUT_S)
+        await peer.confirm(expires_at=expires_at)
         return peer
 
     def is_up(self, name: str) -> bool:
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -42,6 +42,8 @@
 # Something received within this time shows that the other side still receives. Longer
 # than the pauses on a stream in use, much shorter than the time-out of heartbeats.
 FRESH_S = 0.25
+# How long a sign of life is waited for; it takes one round trip.
+SIGN_OF_LIFE_TIMEOUT_S = 0.3
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 2.0
 
@@ -173,12 +175,13 @@
         """Return how many calls and queries wait for their answers."""
         return len(self._calls) + len(self._queries)
 
-    async def confirm(self, *, timeout_s: float) -> None:
+    async def confirm(self, *, expires_at: float) -> None:
         """Return once something was received within `FRESH_S`; ask for it if not.
 
         What is sent to a side that does not receive is lost, and nobody can tell later
         whether it was. Raises `PeerUnreachableError` if nothing is received within
-        `timeout_s` after the question, which may be that of an earlier call.
+        `SIGN_OF_LIFE_TIMEOUT_S` after the question, which may be that of an earlier
+        call, or until `expires_at` on the event loop's clock.
         """
         connection = self._get_connection()
         now = asyncio.get_running_loop().time()
@@ -189,7 +192,8 @@
             self._asked_at = now
             connection.send(self._observer.build_heartbeat())
         sign = self._sign_of_life
-        await asyncio.wait({sign}, timeout=max(0.0, self._asked_at + timeout_s - now))
+        expires_at = min(expires_at, self._asked_at + SIGN_OF_LIFE_TIMEOUT_S)
+        await asyncio.wait({sign}, timeout=max(0.0, expires_at - now))
         if not sign.done():
             # If this process was paused, what has been received is read only now.
             await asyncio.sleep(0)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -11,6 +11,7 @@
 from msgspec.structs import replace
 
 from pimentoscale.admission import RootRequestLimiter
+from pimentoscale.errors import ErrorKind
 from pimentoscale.forwarding import exchange
 from pimentoscale.forwarding.exchange import AttemptOutcome, ForwardRequest
 from pimentoscale.forwarding.forwarder import ANSWER_GRACE_S
@@ -21,7 +22,11 @@
 from pimentoscale.membership import MemberState
 from pimentoscale.membership.member import encode_member
 from pimentoscale.settings import Address
-from pimentoscale.stream.peer import FRESH_S, HEARTBEAT_TIMEOUT_S
+from pimentoscale.stream.peer import (
+    FRESH_S,
+    HEARTBEAT_TIMEOUT_S,
+    SIGN_OF_LIFE_TIMEOUT_S,
+)
 from pimentoscale.suspension import read_suspended_s
 from pimentoscale_bench.relay import Relay
 from tests.addresses import find_address
@@ -724,6 +729,28 @@
     run_scenario(scenario)
 
 
+def test_request_waits_for_a_silent_node_no_longer_than_its_deadline() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        entry = deployment.machines["m1"].sidecar
+        entry.views.remove("m3")
+        relay = await route_through_relay(deployment, "m1", "m2")
+        relay.cut()
+        await asyncio.sleep(2 * FRESH_S)
+        view = entry.views.find("m2")
+        assert view is not None
+        now = asyncio.get_running_loop().time()
+        forward = make_forward_request("b", deadline=now + 0.1)
+        attempt = await entry.forwarder._send(view, forward)
+        assert asyncio.get_running_loop().time() - now < SIGN_OF_LIFE_TIMEOUT_S
+        assert attempt.outcome is AttemptOutcome.NOT_RUN
+        assert attempt.error is not None
+        # That says nothing about the node.
+        assert attempt.error.kind is ErrorKind.DEADLINE_BEFORE_RUN
+        relay.close()
+
+    run_scenario(scenario)
+
+
 def test_quiet_node_gets_requests_after_one_sign_of_life_for_all() -> None:
     async def scenario(deployment: Deployment) -> None:
         entry = deployment.machines["m1"].sidecar
