--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -135,10 +135,7 @@
             async with self._state.time_limits.limit():
                 await self._run(forward, route, history)
         except TimeoutError:
-            history.last = Attempt.make_unknown(
-                ErrorKind.DEADLINE_WHILE_RUNNING, detail="the node stops"
-            )
-            history.may_have_run = True
+            history.add(Attempt.make_interrupted(forward, detail="the node stops"))
         has_targets = bool(self._views.list(forward.service))
         return self._responses.build(
             forward,
@@ -264,11 +261,7 @@
                 await self._run_in_silence(silence, view, forward, route, history)
                 break
             self._record_attempt(view, forward, attempt, now=loop.time())
-            history.last = attempt
-            history.arrivals += attempt.arrived
-            history.may_have_run = (
-                history.may_have_run or attempt.outcome is not AttemptOutcome.NOT_RUN
-            )
+            history.add(attempt)
             if not self._may_continue(attempt, history, forward, route, budget):
                 break
             if attempt.error is not None and attempt.error.kind in _REFUSAL_ERRORS:
@@ -316,9 +309,7 @@
         self._record_attempt(
             view, forward, attempt, now=asyncio.get_running_loop().time()
         )
-        history.last = attempt
-        history.may_have_run = True
-        history.arrivals += 1
+        history.add(attempt)
         other: asyncio.Task[None] | None = None
         if self._may_continue(
             attempt, history, forward, route, self._get_budget(forward.service)
@@ -366,6 +357,7 @@
 
     async def _attempt(self, view: NodeView, forward: ForwardRequest) -> Attempt:
         view.outstanding += 1
+        forward.is_handed_over = False
         try:
             if view.is_own:
                 return await self._target.run(forward)
@@ -376,11 +368,14 @@
     async def _send(self, view: NodeView, forward: ForwardRequest) -> Attempt:
         loop = asyncio.get_running_loop()
         try:
-            peer = await self._links.get(view.member, now=loop.time())
+            peer = await self._links.get(
+                view.member, expires_at=self._get_deadline(forward), now=loop.time()
+            )
             now = loop.time()
             remaining_s = max(0.0, self._get_deadline(forward) - now)
             frame = make_forward(forward, remaining_s=remaining_s, stated=view.stated)
             timeout_s = remaining_s + ANSWER_GRACE_S
+            forward.is_handed_over = True
             # Work that must not run again is awaited in a silence; other work is also
             # run elsewhere then.
             answering = peer.query(
@@ -390,7 +385,11 @@
                 reports_silence=forward.idempotent,
             )
         except PeerUnreachableError as error:
-            return Attempt.make_not_run(ErrorKind.PEER_UNREACHABLE, detail=str(error))
+            kind = ErrorKind.PEER_UNREACHABLE
+            if loop.time() >= self._get_deadline(forward):
+                # The node may be well: the request came late.
+                kind = ErrorKind.DEADLINE_BEFORE_RUN
+            return Attempt.make_not_run(kind, detail=str(error))
         return await _receive(answering)
 
     def _get_deadline(self, forward: ForwardRequest) -> float:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable
+import socket
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace as replace_data
 from typing import Any
 
@@ -10,15 +11,22 @@
 from msgspec.structs import replace
 
 from pimentoscale.admission import RootRequestLimiter
+from pimentoscale.errors import ErrorKind
 from pimentoscale.forwarding import exchange
-from pimentoscale.forwarding.exchange import ForwardRequest
+from pimentoscale.forwarding.exchange import AttemptOutcome, ForwardRequest
+from pimentoscale.forwarding.forwarder import ANSWER_GRACE_S
 from pimentoscale.forwarding.origins import OriginTracker
 from pimentoscale.forwarding.stopping import CALLERS_MOVED_S
 from pimentoscale.http import HttpRequest, HttpResponse
 from pimentoscale.http.client_connection import MAX_RESPONSE_BYTES
 from pimentoscale.membership import MemberState
 from pimentoscale.membership.member import encode_member
-from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
+from pimentoscale.settings import Address
+from pimentoscale.stream.peer import (
+    FRESH_S,
+    HEARTBEAT_TIMEOUT_S,
+    SIGN_OF_LIFE_TIMEOUT_S,
+)
 from pimentoscale.suspension import read_suspended_s
 from pimentoscale_bench.relay import Relay
 from tests.addresses import find_address
@@ -522,6 +530,58 @@
     run_scenario(scenario)
 
 
+@contextlib.contextmanager
+def open_silent_address() -> Iterator[Address]:
+    """Return an address that answers no connect, like that of a machine cut off."""
+    address = find_address()
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind((address.host, address.port))
+        listener.listen(0)
+        # The kernel drops connects once the backlog is full.
+        stack.enter_context(
+            socket.create_connection((address.host, address.port), timeout=1.0)
+        )
+        yield address
+
+
+def test_request_whose_deadline_ends_a_connect_to_its_target_is_refused() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.machines["m1"].sidecar.views.remove("m3")
+        loop = asyncio.get_running_loop()
+        with open_silent_address() as address:
+            deployment.machines["m2"].sidecar.target._client.address = address
+            started = loop.time()
+            response = await deployment.send("m1", "/once/x", remaining_ms=300)
+            elapsed_s = loop.time() - started
+        assert response.status == 503
+        assert response.find(b"retry-after") is not None
+        assert elapsed_s < 0.3 + ANSWER_GRACE_S
+        assert deployment.count_runs() == {}
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("remaining_s", "kind"),
+    [(0.3, "upstream_unreachable"), (0.05, "deadline_before_run")],
+)
+def test_connect_ended_by_a_deadline_tells_of_the_target_only_if_it_was_long(
+    remaining_s: float, kind: str
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        target = deployment.machines["m2"].sidecar.target
+        with open_silent_address() as address:
+            target._client.address = address
+            deadline = asyncio.get_running_loop().time() + remaining_s
+            attempt = await target.run(make_forward_request("b", deadline=deadline))
+        assert attempt.outcome is AttemptOutcome.NOT_RUN
+        assert attempt.error is not None
+        assert attempt.error.kind.value == kind
+
+    run_scenario(scenario)
+
+
 def test_target_that_left_is_not_used_again_after_a_restart_of_its_node() -> None:
     async def scenario(deployment: Deployment) -> None:
         machine = deployment.machines["m2"]
@@ -625,6 +685,91 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("route", ["once", "rb"])
+def test_request_is_not_sent_into_the_silence_of_a_node_but_refused(
+    route: str,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        entry = deployment.machines["m1"].sidecar
+        entry.views.remove("m3")
+        relay = await route_through_relay(deployment, "m1", "m2")
+        relay.cut()
+        await asyncio.sleep(2 * FRESH_S)
+        # Its silence has not been noticed yet.
+        assert entry.links.is_up("m2")
+        response = await deployment.send("m1", f"/{route}/x", remaining_ms=1000)
+        assert response.status == 503
+        assert response.find(b"retry-after") is not None
+        relay.heal()
+        await wait_until(lambda: entry.links.is_up("m2"))
+        # Nothing was under way.
+        view = entry.views.find("m2")
+        assert view is not None
+        view.ejected_until = 0.0
+        assert (await deployment.send("m1", f"/{route}/y", identity="y")).status == 200
+        assert deployment.count_runs() == {"y": 1}
+        relay.close()
+
+    run_scenario(scenario)
+
+
+def test_requests_go_elsewhere_before_the_silence_of_a_node_is_noticed() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        entry = deployment.machines["m1"].sidecar
+        relay = await route_through_relay(deployment, "m1", "m2")
+        relay.cut()
+        await asyncio.sleep(2 * FRESH_S)
+        requests = [deployment.send("m1", "/once/x") for _ in range(10)]
+        responses = await asyncio.gather(*requests)
+        assert entry.links.is_up("m2")
+        assert [response.status for response in responses] == [200] * 10
+        assert set(deployment.count_runs().values()) == {1}
+        relay.close()
+
+    run_scenario(scenario)
+
+
+def test_request_waits_for_a_silent_node_no_longer_than_its_deadline() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        entry = deployment.machines["m1"].sidecar
+        entry.views.remove("m3")
+        relay = await route_through_relay(deployment, "m1", "m2")
+        relay.cut()
+        await asyncio.sleep(2 * FRESH_S)
+        view = entry.views.find("m2")
+        assert view is not None
+        now = asyncio.get_running_loop().time()
+        forward = make_forward_request("b", deadline=now + 0.1)
+        attempt = await entry.forwarder._send(view, forward)
+        assert asyncio.get_running_loop().time() - now < SIGN_OF_LIFE_TIMEOUT_S
+        assert attempt.outcome is AttemptOutcome.NOT_RUN
+        assert attempt.error is not None
+        # That says nothing about the node.
+        assert attempt.error.kind is ErrorKind.DEADLINE_BEFORE_RUN
+        relay.close()
+
+    run_scenario(scenario)
+
+
+def test_quiet_node_gets_requests_after_one_sign_of_life_for_all() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        entry = deployment.machines["m1"].sidecar
+        entry.views.remove("m3")
+        peer = entry.links.find_peer("m2")
+        assert peer is not None
+        connection = peer._connection
+        assert connection is not None
+        connection.last_received_at -= 2 * FRESH_S
+        asked_before = peer._asked_at
+        requests = [deployment.send("m1", "/once/x") for _ in range(5)]
+        responses = await asyncio.gather(*requests)
+        assert [response.status for response in responses] == [200] * 5
+        assert peer._asked_at > asked_before
+        assert peer._sign_of_life is None
+
+    run_scenario(scenario)
+
+
 def test_told_load_reaches_other_nodes_and_a_malformed_one_changes_nothing() -> None:
     async def scenario(deployment: Deployment) -> None:
         entry = deployment.machines["m1"].sidecar
