Call a stopping node by the own client in its test

On uvloop a connection that closes right after it was opened has no socket any more, which anyio does not expect.

Change: the callers use HttpClient, which tells "not connected" and "no whole answer" apart; the checks are the same.

--- a/tests/test_node_stopping.py
+++ b/tests/test_node_stopping.py
@@ -9,6 +9,12 @@
 import pytest
 import uvloop
 
+from pimentoscale.http import (
+    HttpClient,
+    HttpRequest,
+    IncompleteResponseError,
+    NotConnectedError,
+)
 from pimentoscale.membership import MemberState
 from pimentoscale.peering.peers import IDLE_TIMEOUT_S, TrafficClass
 from pimentoscale.stream import Hello
@@ -415,6 +421,15 @@
     run_scenario(scenario)
 
 
+def make_call(kind: str, request: str) -> HttpRequest:
+    headers = [
+        (b"host", b"node"),
+        (b"pimento-kind", kind.encode()),
+        (b"pimento-request-id", request.encode()),
+    ]
+    return HttpRequest(method=b"POST", path=b"/call/run", headers=headers, body=b"")
+
+
 def test_requests_until_the_end_of_a_stop_are_answered_or_not_read() -> None:
     async def scenario(site: Site) -> None:
         running, upstream = site.nodes["f0"], site.nodes["b0"].upstream
@@ -422,24 +437,29 @@
         statuses: set[int] = set()
 
         async def call_repeatedly(caller: int) -> None:
-            async with httpx.AsyncClient(timeout=WAIT_S) as client:
-                for number in range(10_000):
-                    name = f"{caller}-{number}"
-                    headers = {"pimento-kind": "read", "pimento-request-id": name}
-                    try:
-                        response = await client.post(
-                            f"{running.url}/call/run", headers=headers
-                        )
-                    except httpx.ConnectError:
-                        return
-                    except (httpx.RemoteProtocolError, httpx.ReadError) as error:
-                        unread.append(f"{name}: {error!r}")
-                        assert not upstream.runs[name], unread
-                        continue
-                    statuses.add(response.status_code)
-                    refused = response.headers["pimento-outcome"] == "refused"
-                    assert upstream.runs[name] == (0 if refused else 1)
-                    await asyncio.sleep(0.005)
+            loop = asyncio.get_running_loop()
+            address = running.node.state.settings.http
+            client = HttpClient(address=address, limit=1)
+            for number in range(10_000):
+                name = f"{caller}-{number}"
+                try:
+                    connection = await client.acquire(now=loop.time())
+                except NotConnectedError:
+                    return
+                try:
+                    response = await connection.exchange(
+                        make_call("read", name), expires_at=loop.time() + WAIT_S
+                    )
+                except (NotConnectedError, IncompleteResponseError) as error:
+                    unread.append(f"{name}: {error!r}")
+                    assert not upstream.runs[name], unread
+                    continue
+                finally:
+                    client.release(connection, now=loop.time())
+                statuses.add(response.status)
+                refused = response.find(b"pimento-outcome") == b"refused"
+                assert upstream.runs[name] == (0 if refused else 1)
+                await asyncio.sleep(0.005)
 
         callers = [asyncio.create_task(call_repeatedly(n)) for n in range(4)]
         await wait_until(lambda: len(upstream.runs) > 20)
