--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -26,7 +26,7 @@
 from pimentoscale.routes import RouteTable
 from pimentoscale.store import RecordStore, TopicWatcher
 from pimentoscale.stream import Hello, TopicRecords
-from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
+from pimentoscale.stream.silence import HEARTBEAT_TIMEOUT_S
 from pimentoscale.suspension import SuspensionDetector, read_boot_time
 
 # Period of the checks for time-outs and of the announcements of a degraded route.
--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -28,7 +28,7 @@
     RoutesRecord,
     finish_connections,
 )
-from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S, is_timed_out
+from pimentoscale.stream.silence import HEARTBEAT_TIMEOUT_S, is_timed_out
 
 BACKLOG = 1024
 
--- a/src/pimentoscale/peering/acceptor.py
+++ b/src/pimentoscale/peering/acceptor.py
@@ -41,7 +41,7 @@
     Verdict,
     finish_connections,
 )
-from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S, is_timed_out
+from pimentoscale.stream.silence import HEARTBEAT_TIMEOUT_S, is_timed_out
 from pimentoscale.stream.transfer import BodyReceiver, BodySender
 from pimentoscale.ticket import WitnessVerdict
 
--- a/src/pimentoscale/stream/__init__.py
+++ b/src/pimentoscale/stream/__init__.py
@@ -7,6 +7,11 @@
     connect,
     finish_connections,
 )
+from pimentoscale.stream.errors import (
+    PeerLostError,
+    PeerSilentError,
+    PeerUnreachableError,
+)
 from pimentoscale.stream.frames import (
     Announcements,
     Call,
@@ -33,12 +38,7 @@
     TopicRecords,
     Verdict,
 )
-from pimentoscale.stream.peer import (
-    Peer,
-    PeerLostError,
-    PeerSilentError,
-    PeerUnreachableError,
-)
+from pimentoscale.stream.peer import Peer
 
 __all__ = [
     "Announcements",
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -5,14 +5,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
-from typing import Any, Protocol
+from typing import Any
 
-from pimentoscale.call import Body, BodyTruncatedError
+from pimentoscale.call import Body
 from pimentoscale.expiry import Expiry
 from pimentoscale.logs import get_logger
 from pimentoscale.settings import Address
 from pimentoscale.stream.codec import FrameError
 from pimentoscale.stream.connection import Connection, connect
+from pimentoscale.stream.errors import (
+    PeerLostError,
+    PeerSilentError,
+    PeerUnreachableError,
+)
 from pimentoscale.stream.frames import (
     Announcements,
     Call,
@@ -32,85 +37,23 @@
     TopicRecords,
     Verdict,
 )
+from pimentoscale.stream.observer import PeerObserver, Query
+from pimentoscale.stream.silence import (
+    FRESH_S,
+    HEARTBEAT_TIMEOUT_S,
+    SILENT_WORK_TIMEOUT_S,
+    SignOfLife,
+)
 from pimentoscale.stream.transfer import BodyReceiver, BodySender, digest_bytes
 
 CONNECT_TIMEOUT_S = 1.0
 HEARTBEAT_PERIOD_S = 0.5
-HEARTBEAT_TIMEOUT_S = 2.0
-# A silent connection is kept for this long while calls or queries that must not be sent
-# again wait for their answers: the other side may only be paused, or cut off for a
-# moment.
-SILENT_WORK_TIMEOUT_S = 8.0
-# Something received within this time shows that the other side still receives. Longer
-# than the pauses on a stream in use, much shorter than the time-out of heartbeats.
-FRESH_S = 0.25
-# How long a sign of life is waited for; it takes one round trip.
-SIGN_OF_LIFE_TIMEOUT_S = 0.3
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 2.0
 
 log = get_logger("stream")
 
 
-class PeerUnreachableError(Exception):
-    """There is no open connection to the peer; nothing was sent."""
-
-
-class PeerLostError(Exception):
-    """The frame was sent, and the connection was lost or no answer came in time."""
-
-
-class PeerSilentError(Exception):
-    """Nothing is received from the other side; `answer` may still come.
-
-    Whoever catches this cancels `answer` if it is no longer awaited.
-    """
-
-    def __init__(self, message: str, *, answer: "asyncio.Future[Frame]") -> None:
-        super().__init__(message)
-        self.answer = answer
-
-
-class Query(Protocol):
-    """A frame that is answered by one frame with the same query number."""
-
-    query: int
-
-
-class PeerObserver(Protocol):
-    """Callbacks of the owner of a peer."""
-
-    def build_heartbeat(self) -> Heartbeat:
-        """Return the heartbeat to send."""
-
-    def on_heartbeat(self, *, remote: Hello, frame: Heartbeat) -> None:
-        """Handle a heartbeat of the other side."""
-
-    def on_records(self, *, frame: Records) -> None:
-        """Handle configuration records."""
-
-    def on_announcements(self, *, frame: Announcements, peer: "Peer") -> None:
-        """Handle announcements of members."""
-
-    def on_slow_call(self, *, remote: Hello, frame: SlowCall) -> None:
-        """Handle a report that a call on the other side's upstream is slow."""
-
-    def on_caller_routes(self, *, frame: CallerRoutes) -> None:
-        """Handle the names of routes that callers use."""
-
-    def on_topic_records(self, *, remote: Hello, frame: TopicRecords) -> None:
-        """Handle records of the store's topics."""
-
-    def on_draining(self, *, remote: Hello) -> None:
-        """Handle the notice that the other side admits no new work."""
-
-    def on_up(self, *, remote: Hello, peer: "Peer") -> None:
-        """Handle a new connection: the peer can be used."""
-
-    def on_down(self, *, peer: "Peer") -> None:
-        """Handle the end of the connection: the peer can't be used."""
-
-
 @dataclass(slots=True, kw_only=True)
 class _PendingCall:
     reply: "asyncio.Future[tuple[Reply, Body]]"
@@ -149,9 +92,7 @@
         # Numbers of the queries whose senders are told of a silence.
         self._reporting: set[int] = set()
         self._is_silent = False
-        # Done at the next sign of life, which was asked for at `_asked_at`.
-        self._sign_of_life: asyncio.Future[None] | None = None
-        self._asked_at = 0.0
+        self._sign_of_life = SignOfLife()
         self._is_retired = False
         self._task: asyncio.Task[None] | None = None
 
@@ -195,32 +136,21 @@
 
         What is sent to a side that does not receive is lost, and nobody can tell later
         whether it was. Raises `PeerUnreachableError` if nothing is received within
-        `SIGN_OF_LIFE_TIMEOUT_S` after the question, which may be that of an earlier
-        call, or until `expires_at` on the event loop's clock.
+        `SIGN_OF_LIFE_TIMEOUT_S`, or until `expires_at` on the event loop's clock.
         """
-        connection = self._get_connection()
-        now = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        connection, now = self._get_connection(), loop.time()
         if now - connection.last_received_at <= FRESH_S:
             return
-        if self._sign_of_life is None:
-            self._sign_of_life = asyncio.get_running_loop().create_future()
-            self._asked_at = now
-            connection.send(self._observer.build_heartbeat())
-        sign = self._sign_of_life
-        expires_at = min(expires_at, self._asked_at + SIGN_OF_LIFE_TIMEOUT_S)
-        await asyncio.wait({sign}, timeout=max(0.0, expires_at - now))
-        if not sign.done():
-            # If this process was paused, what has been received is read only now.
-            await asyncio.sleep(0)
-        if not sign.done():
-            silent_s = asyncio.get_running_loop().time() - connection.last_received_at
+        is_received = await self._sign_of_life.wait(
+            ask=lambda: connection.send(self._observer.build_heartbeat()),
+            expires_at=expires_at,
+            now=now,
+        )
+        if not is_received:
+            silent_s = loop.time() - connection.last_received_at
             raise PeerUnreachableError(f"{self.address}: silent for {silent_s:.1f} s")
 
-    def _record_sign_of_life(self) -> None:
-        if self._sign_of_life is not None:
-            self._sign_of_life.set_result(None)
-            self._sign_of_life = None
-
     async def call(
         self, frame: Call, remainder: Body, *, waits_in_silence: bool = False
     ) -> tuple[Reply, Body]:
@@ -457,7 +387,7 @@
     def _handle_frame(
         self, connection: Connection, remote: Hello, frame: Frame
     ) -> None:
-        self._record_sign_of_life()
+        self._sign_of_life.record()
         match frame:
             case Reply():
                 self._handle_reply(connection, frame)
@@ -550,7 +480,7 @@
         self._connection.close()
         self._connection = None
         # Those that wait find that there is no connection.
-        self._record_sign_of_life()
+        self._sign_of_life.record()
         was_silent, self._is_silent = self._is_silent, False
         lost = PeerLostError(str(self.address))
         calls, self._calls = self._calls, {}
@@ -570,30 +500,6 @@
             pending.receiver.body.fail("the peer was lost")
 
 
-def is_timed_out(connection: Connection, *, is_working: bool, now: float) -> bool:
-    """Return whether an accepted connection is to be closed for its silence.
-
-    While the other side waits for answers, or may not have read the last one yet, it is
-    kept up to `SILENT_WORK_TIMEOUT_S`: that side may only be paused.
-    """
-    is_read = connection.answered_at < connection.last_received_at
-    limit_s = HEARTBEAT_TIMEOUT_S
-    if is_working or not is_read:
-        limit_s = SILENT_WORK_TIMEOUT_S
-    return now - connection.last_received_at > limit_s
-
-
 def _time_out(answer: "asyncio.Future[Frame]") -> None:
     if not answer.done():
         answer.set_exception(TimeoutError())
-
-
-__all__ = [
-    "BodyTruncatedError",
-    "Peer",
-    "PeerLostError",
-    "PeerObserver",
-    "PeerSilentError",
-    "PeerUnreachableError",
-    "is_timed_out",
-]
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -26,7 +26,7 @@
     Reply,
     RoutesRecord,
 )
-from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S, SILENT_WORK_TIMEOUT_S
+from pimentoscale.stream.silence import HEARTBEAT_TIMEOUT_S, SILENT_WORK_TIMEOUT_S
 from tests.addresses import HOST
 from tests.nodes import run_site
 from tests.sidecars import run_one_zone, wait_until
--- a/tests/test_node_stopping.py
+++ b/tests/test_node_stopping.py
@@ -20,7 +20,7 @@
 from pimentoscale.stream import Hello
 from pimentoscale.stream.codec import encode_frame
 from pimentoscale.stream.frames import PROTOCOL_VERSION
-from pimentoscale.stream.peer import HEARTBEAT_TIMEOUT_S
+from pimentoscale.stream.silence import HEARTBEAT_TIMEOUT_S
 from tests.nodes import RunningNode, Site, get_ticket, run_site, send
 from tests.sidecars import WAIT_S, wait_until
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -22,7 +22,7 @@
 from pimentoscale.membership import MemberState
 from pimentoscale.membership.member import encode_member
 from pimentoscale.settings import Address
-from pimentoscale.stream.peer import (
+from pimentoscale.stream.silence import (
     FRESH_S,
     HEARTBEAT_TIMEOUT_S,
     SIGN_OF_LIFE_TIMEOUT_S,
@@ -760,12 +760,12 @@
         connection = peer._connection
         assert connection is not None
         connection.last_received_at -= 2 * FRESH_S
-        asked_before = peer._asked_at
+        asked_before = peer._sign_of_life._asked_at
         requests = [deployment.send("m1", "/once/x") for _ in range(5)]
         responses = await asyncio.gather(*requests)
         assert [response.status for response in responses] == [200] * 5
-        assert peer._asked_at > asked_before
-        assert peer._sign_of_life is None
+        assert peer._sign_of_life._asked_at > asked_before
+        assert peer._sign_of_life._received is None
 
     run_scenario(scenario)
 
