Split the attempts at requests from their forwarder

No change of behaviour.

The test of a change during the start called the program, whose end is that of the process since the merge, and so ended the process of the tests; it runs the loop alone now.

--- a/tests/test_settings_change.py
+++ b/tests/test_settings_change.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import pytest
+import uvloop
 
 from pimentoscale.forwarding.node import Sidecar
 from pimentoscale.forwarding.retries import LEAF_SHARE, RetryBudget
@@ -130,6 +131,8 @@
     monkeypatch.setattr(Sidecar, "wait_stopped", wait_stopped)
     monkeypatch.setattr(program, "configure_structured_logs", lambda: None)
     monkeypatch.setattr(program, "configure_garbage_collector", lambda: None)
+    # The program would end the process of the tests.
+    monkeypatch.setattr(program, "run_to_exit", uvloop.run)
     program.main()
     assert graces == [6.0, 11.0]
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -13,8 +13,8 @@
 from pimentoscale.admission import RootRequestLimiter
 from pimentoscale.errors import ErrorKind
 from pimentoscale.forwarding import exchange
+from pimentoscale.forwarding.attempts import ANSWER_GRACE_S
 from pimentoscale.forwarding.exchange import AttemptOutcome, ForwardRequest
-from pimentoscale.forwarding.forwarder import ANSWER_GRACE_S
 from pimentoscale.forwarding.origins import OriginTracker
 from pimentoscale.forwarding.stopping import CALLERS_MOVED_S
 from pimentoscale.http import HttpRequest, HttpResponse
@@ -740,7 +740,7 @@
         assert view is not None
         now = asyncio.get_running_loop().time()
         forward = make_forward_request("b", deadline=now + 0.1)
-        attempt = await entry.forwarder._send(view, forward)
+        attempt = await entry.forwarder._attempts._send(view, forward)
         assert asyncio.get_running_loop().time() - now < SIGN_OF_LIFE_TIMEOUT_S
         assert attempt.outcome is AttemptOutcome.NOT_RUN
         assert attempt.error is not None
