Append the records of tests at the present time

Seen: test_calls_after_a_change_of_the_store_do_not_use_its_old_connections failed in every run since the machine had been up for an hour, and one case of test_foreign_entries.

Cause: tests appended records with time 0 of the event loop's clock, which counts from the start of the machine; the stand-in of the store drops records older than an hour. Change: they are appended at the present time. Shown: both files fail before and pass after.

Found by it, not fixed: the case of a deleted own record waited in vain, since the deletion had expired before the node read it: a node does not notice that its record is missing in what the store keeps.

--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -90,7 +90,9 @@
     def write(self, value: bytes) -> None:
         """Write any bytes as the configuration."""
         record = b"\x06config" + value
-        self.service.append(CONFIGURATION_TOPIC, [record], at=None, now=0.0)
+        # Records of long ago expire.
+        now = asyncio.get_running_loop().time()
+        self.service.append(CONFIGURATION_TOPIC, [record], at=None, now=now)
 
     async def start_machine(
         self, name: str, service: str, *, zone: str = "z1", slots: int = 4
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -398,7 +398,8 @@
     """Append a record and, in the same call, a member of another zone after it."""
     member = make_member(instance=marker, zone="z9", service="c")
     good = make_record(marker.encode(), encode_member(member))
-    deployment.service.append(MEMBERS, [record, good], at=None, now=0.0)
+    now = asyncio.get_running_loop().time()
+    deployment.service.append(MEMBERS, [record, good], at=None, now=now)
 
 
 @pytest.mark.parametrize("name", BAD_MEMBERS)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -474,7 +474,8 @@
         # The store completes a write seconds after its response was lost.
         old = replace_data(own, state=MemberState.DRAINING)
         record = bytes((2,)) + b"m2" + encode_member(old)
-        deployment.service.append("keyed.members", [record], at=None, now=0.0)
+        now = asyncio.get_running_loop().time()
+        deployment.service.append("keyed.members", [record], at=None, now=now)
         await wait_until(lambda: others.views.find("m2") is None)
         await wait_until(lambda: others.views.find("m2") is not None)
         assert others.state.members["m2"].state is MemberState.ALIVE
