Wait for the streams that tests use

Cause: machines are ready once they know all members; a stream may still be opening then. test_quiet_node_gets_requests_after_one_sign_of_life_for_all assumed the same. Change: both wait until the stream is up; their checks are the same.

--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -814,6 +814,7 @@
 ) -> None:
     async def scenario(deployment: Deployment) -> None:
         links = deployment.machines["m0"].sidecar.links
+        await wait_until(lambda: links.is_up("m1"))
         peer = links.find_peer("m1")
         assert peer is not None
         calls = 0
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -756,6 +756,7 @@
     async def scenario(deployment: Deployment) -> None:
         entry = deployment.machines["m1"].sidecar
         entry.views.remove("m3")
+        await wait_until(lambda: entry.links.is_up("m2"))
         peer = entry.links.find_peer("m2")
         assert peer is not None
         connection = peer._connection
