Share the end of streams and the wait for a quiet one

Seen in the read-through: both interfaces passed the same time-out to finish_connections, and three tests cut a stream with the same lines and a fixed sleep of 0.5 s.

No check is changed.

--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -28,7 +28,7 @@
     RoutesRecord,
     finish_connections,
 )
-from pimentoscale.stream.silence import HEARTBEAT_TIMEOUT_S, is_timed_out
+from pimentoscale.stream.silence import is_timed_out
 
 BACKLOG = 1024
 
@@ -78,7 +78,6 @@
         self._listener.close()
         await finish_connections(
             lambda: [session.connection for session in self._sessions],
-            silence_s=HEARTBEAT_TIMEOUT_S,
             ends_at=ends_at,
         )
 
--- a/src/pimentoscale/peering/acceptor.py
+++ b/src/pimentoscale/peering/acceptor.py
@@ -41,7 +41,7 @@
     Verdict,
     finish_connections,
 )
-from pimentoscale.stream.silence import HEARTBEAT_TIMEOUT_S, is_timed_out
+from pimentoscale.stream.silence import is_timed_out
 from pimentoscale.stream.transfer import BodyReceiver, BodySender
 from pimentoscale.ticket import WitnessVerdict
 
@@ -110,7 +110,6 @@
         self._listener.close()
         await finish_connections(
             lambda: [session.connection for session in self._sessions],
-            silence_s=HEARTBEAT_TIMEOUT_S,
             ends_at=ends_at,
         )
 
--- a/src/pimentoscale/stream/__init__.py
+++ b/src/pimentoscale/stream/__init__.py
@@ -5,7 +5,6 @@
     Connection,
     Listener,
     connect,
-    finish_connections,
 )
 from pimentoscale.stream.errors import (
     PeerLostError,
@@ -39,6 +38,7 @@
     Verdict,
 )
 from pimentoscale.stream.peer import Peer
+from pimentoscale.stream.silence import finish_connections
 
 __all__ = [
     "Announcements",
--- a/src/pimentoscale/stream/connection.py
+++ b/src/pimentoscale/stream/connection.py
@@ -15,7 +15,6 @@
 from pimentoscale.stream.frames import PROTOCOL_VERSION, Frame, Hello
 
 HELLO_TIMEOUT_S = 2.0
-FINISH_POLL_S = 0.02
 
 FrameHandler = Callable[[Frame], None]
 ConnectionHandler = Callable[["Connection"], Awaitable[None]]
@@ -198,24 +197,6 @@
     return connection
 
 
-async def finish_connections(
-    list_open: Callable[[], list[Connection]], *, silence_s: float, ends_at: float
-) -> None:
-    """Finish connections, and wait until the other sides have closed them.
-
-    Those on which nothing was received for `silence_s` are not waited for. The wait
-    ends at `ends_at` on the event loop's clock.
-    """
-    loop = asyncio.get_running_loop()
-    for connection in list_open():
-        connection.finish()
-    while loop.time() < ends_at:
-        heard_since = loop.time() - silence_s
-        if all(item.last_received_at < heard_since for item in list_open()):
-            return
-        await asyncio.sleep(FINISH_POLL_S)
-
-
 class Listener:
     """Accepts connections and runs one task for each."""
 
@@ -263,5 +244,4 @@
     "FrameError",
     "Listener",
     "connect",
-    "finish_connections",
 ]
--- a/src/pimentoscale/stream/silence.py
+++ b/src/pimentoscale/stream/silence.py
@@ -15,6 +15,7 @@
 FRESH_S = 0.25
 # How long a sign of life is waited for; it takes one round trip.
 SIGN_OF_LIFE_TIMEOUT_S = 0.3
+FINISH_POLL_S = 0.02
 
 
 class SignOfLife:
@@ -64,3 +65,21 @@
     if is_working or not is_read:
         limit_s = SILENT_WORK_TIMEOUT_S
     return now - connection.last_received_at > limit_s
+
+
+async def finish_connections(
+    list_open: Callable[[], list[Connection]], *, ends_at: float
+) -> None:
+    """Finish connections, and wait until the other sides have closed them.
+
+    Those on which nothing was received for `HEARTBEAT_TIMEOUT_S` are not waited for.
+    The wait ends at `ends_at` on the event loop's clock.
+    """
+    loop = asyncio.get_running_loop()
+    for connection in list_open():
+        connection.finish()
+    while loop.time() < ends_at:
+        heard_since = loop.time() - HEARTBEAT_TIMEOUT_S
+        if all(item.last_received_at < heard_since for item in list_open()):
+            return
+        await asyncio.sleep(FINISH_POLL_S)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -656,6 +656,19 @@
     return relay
 
 
+async def cut_until_quiet(deployment: Deployment, source: str, name: str) -> Relay:
+    """Cut a node off from another one; return the relay once the stream is quiet."""
+    relay = await route_through_relay(deployment, source, name)
+    peer = deployment.machines[source].sidecar.links.find_peer(name)
+    assert peer is not None
+    connection = peer._connection
+    assert connection is not None
+    relay.cut()
+    loop = asyncio.get_running_loop()
+    await wait_until(lambda: loop.time() - connection.last_received_at > 2 * FRESH_S)
+    return relay
+
+
 @pytest.mark.parametrize(("route", "runs"), [("once", 1), ("rb", 2)])
 def test_work_of_a_node_that_is_only_silent_is_not_given_up(
     route: str, runs: int
@@ -693,9 +706,7 @@
     async def scenario(deployment: Deployment) -> None:
         entry = deployment.machines["m1"].sidecar
         entry.views.remove("m3")
-        relay = await route_through_relay(deployment, "m1", "m2")
-        relay.cut()
-        await asyncio.sleep(2 * FRESH_S)
+        relay = await cut_until_quiet(deployment, "m1", "m2")
         # Its silence has not been noticed yet.
         assert entry.links.is_up("m2")
         response = await deployment.send("m1", f"/{route}/x", remaining_ms=1000)
@@ -717,9 +728,7 @@
 def test_requests_go_elsewhere_before_the_silence_of_a_node_is_noticed() -> None:
     async def scenario(deployment: Deployment) -> None:
         entry = deployment.machines["m1"].sidecar
-        relay = await route_through_relay(deployment, "m1", "m2")
-        relay.cut()
-        await asyncio.sleep(2 * FRESH_S)
+        relay = await cut_until_quiet(deployment, "m1", "m2")
         requests = [deployment.send("m1", "/once/x") for _ in range(10)]
         responses = await asyncio.gather(*requests)
         assert entry.links.is_up("m2")
@@ -734,9 +743,7 @@
     async def scenario(deployment: Deployment) -> None:
         entry = deployment.machines["m1"].sidecar
         entry.views.remove("m3")
-        relay = await route_through_relay(deployment, "m1", "m2")
-        relay.cut()
-        await asyncio.sleep(2 * FRESH_S)
+        relay = await cut_until_quiet(deployment, "m1", "m2")
         view = entry.views.find("m2")
         assert view is not None
         now = asyncio.get_running_loop().time()
