--- a/review/harness.py
+++ b/review/harness.py
@@ -118,6 +118,10 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
+# Those of machines whose node may not have bound them yet, too.
+_given_ports: set[int] = set()
+
+
 def find_ports(count: int) -> list[int]:
     """Return different free ports, below those of outgoing connections.
 
@@ -126,12 +130,15 @@
     ports: set[int] = set()
     while len(ports) < count:
         port = random.randint(FIRST_PORT, LAST_PORT)
+        if port in _given_ports:
+            continue
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
             except OSError:
                 continue
         ports.add(port)
+    _given_ports.update(ports)
     return sorted(ports)
 
 
