Acknowledge a departure only once it outlives the node

Cause: the handler of announcements answered at once, the record was written later. An acknowledgement was as good as the memory of one process.

Ruled out: the floor for late announcements works once the record is there; no comparison of sequences can tell a heartbeat that was sent just before DELETE.

Change: an acknowledgement waits for the store, or, if that takes no write, for copies at most of the holders of the record, up to fifteen nodes of the zone. Neither: 503. A starting node sends nothing to its target and writes nothing until it has its former record from the store and the holders. Streams are of protocol 6.

A trial run found that an older record read later replaced the newest start; it has a test of its own.

--- /dev/null
+++ b/src/pimentoscale/forwarding/copies.py
@@ -0,0 +1,211 @@
+"""Copies of members' records, held by other nodes.
+
+A node may have to acknowledge that its upstream leaves while the store is down, and be
+killed before it could write that. Its next start gets the record from these nodes. What
+most of them hold is found by asking the rest and one more.
+"""
+
+import asyncio
+from collections.abc import Iterable
+
+import xxhash
+from result import Err, Ok
+
+from pimentoscale.forwarding.links import Links
+from pimentoscale.forwarding.state import SidecarState
+from pimentoscale.logs import get_logger
+from pimentoscale.membership import (
+    Member,
+    MemberState,
+    decode_member,
+    encode_member,
+)
+from pimentoscale.stream import (
+    HeldRecord,
+    HoldRecord,
+    PeerLostError,
+    PeerUnreachableError,
+)
+
+# Nodes that hold a record: the cost of a leaving upstream does not grow with its zone.
+MAX_HOLDERS = 15
+# Records held for other nodes; the oldest are dropped beyond that.
+MAX_HELD = 1024
+# Pause before a node that could not be reached is asked again.
+RETRY_S = 0.05
+
+log = get_logger("members")
+
+
+def count_copies(holders: int) -> int:
+    """Return how many of the holders must have a record for it to be kept."""
+    return holders // 2 + 1
+
+
+def count_answers(holders: int) -> int:
+    """Return how many holders must answer, so that one has each record that is kept."""
+    return holders - count_copies(holders) + 1 if holders else 0
+
+
+def find_newest(members: Iterable[Member | None]) -> Member | None:
+    """Return the record with the latest state of the upstream, None without any."""
+    found = [member for member in members if member is not None]
+    return max(found, key=lambda member: member.progress, default=None)
+
+
+def rank_holders(instance: str, names: Iterable[str]) -> list[str]:
+    """Return the nodes that hold the records of an instance.
+
+    Nodes with the same members agree on them.
+    """
+    others = [name for name in names if name != instance]
+    others.sort(
+        key=lambda name: xxhash.xxh3_64_intdigest(f"{instance}/{name}".encode())
+    )
+    return others[:MAX_HOLDERS]
+
+
+class RecordCopies:
+    """Holds records for other nodes, and has other nodes hold those of this one."""
+
+    __slots__ = ("_asking", "_held", "_links", "_state")
+
+    def __init__(self, *, state: SidecarState, links: Links) -> None:
+        self._state = state
+        self._links = links
+        self._held: dict[str, Member] = {}
+        self._asking: set[asyncio.Task[HeldRecord | None]] = set()
+
+    def hold(self, member: Member) -> None:
+        """Hold the record of another node, unless a newer one is held."""
+        held = self._held.pop(member.instance, None)
+        self._held[member.instance] = find_newest((held, member)) or member
+        if len(self._held) > MAX_HELD:
+            del self._held[next(iter(self._held))]
+
+    def answer(self, frame: HoldRecord) -> HeldRecord:
+        """Hold the record in a frame, if any, and return the newest one held."""
+        if frame.data:
+            match decode_member(frame.data):
+                case Ok(member) if member.instance == frame.instance:
+                    self.hold(member)
+                case Ok(member):
+                    log.warning("record of %r not held: wrong name", frame.instance)
+                case Err(reason):
+                    log.warning("record of %r not held: %s", frame.instance, reason)
+        return HeldRecord(query=frame.query, data=self._encode_newest(frame.instance))
+
+    def make_notice(self, instance: str) -> HeldRecord:
+        """Return the frame that tells a node which record of it is held here."""
+        names = self._list_holders(instance)
+        is_holder = self._state.settings.instance in names
+        return HeldRecord(
+            query=0,
+            data=self._encode_newest(instance),
+            holders=len(names) if is_holder else 0,
+        )
+
+    async def spread(self, record: Member, *, timeout_s: float) -> bool:
+        """Have other nodes hold a record; return whether enough of them do in time."""
+        names = self._list_holders(record.instance)
+        needed = count_copies(len(names))
+        data = encode_member(record)
+        answers = await self._ask(names, data, needed=needed, timeout_s=timeout_s)
+        log.info(
+            "own member record held by other nodes: state=%s copies=%d needed=%d",
+            record.state.value,
+            len(answers),
+            needed,
+        )
+        return len(answers) >= needed
+
+    async def collect(self, *, timeout_s: float) -> list[Member]:
+        """Return the records of this node that other nodes hold.
+
+        Fewer nodes than needed may have answered in time.
+        """
+        names = self._list_holders(self._state.settings.instance)
+        needed = count_answers(len(names))
+        answers = await self._ask(names, b"", needed=needed, timeout_s=timeout_s)
+        if len(answers) < needed:
+            log.warning(
+                "own member record asked for: answers=%d needed=%d in %.1f s",
+                len(answers),
+                needed,
+                timeout_s,
+            )
+        found = [decode_held(answer) for answer in answers]
+        return [member for member in found if member is not None]
+
+    def _list_holders(self, instance: str) -> list[str]:
+        """Return the holders of an instance's records, of its own zone if possible."""
+        members = self._state.members
+        zones = {name: member.zone for name, member in members.items()}
+        own = self._state.settings
+        zones[own.instance] = own.zone
+        zone = zones.get(instance)
+        neighbours = [name for name in zones if zones[name] == zone]
+        holders = rank_holders(instance, neighbours)
+        return holders or rank_holders(instance, zones)
+
+    def _encode_newest(self, instance: str) -> bytes:
+        found = (self._held.get(instance), self._state.members.get(instance))
+        newest = find_newest(found)
+        return b"" if newest is None else encode_member(newest)
+
+    async def _ask(
+        self, names: list[str], data: bytes, *, needed: int, timeout_s: float
+    ) -> list[HeldRecord]:
+        """Ask nodes until as many as needed have answered; the others go on."""
+        expires_at = asyncio.get_running_loop().time() + timeout_s
+        pending = {self._start(name, data, expires_at) for name in names}
+        answers: list[HeldRecord] = []
+        while pending and len(answers) < needed:
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            results = [task.result() for task in done]
+            answers.extend(result for result in results if result is not None)
+        return answers
+
+    def _start(
+        self, name: str, data: bytes, expires_at: float
+    ) -> asyncio.Task[HeldRecord | None]:
+        task = asyncio.create_task(self._ask_node(name, data, expires_at))
+        self._asking.add(task)
+        task.add_done_callback(self._asking.discard)
+        return task
+
+    async def _ask_node(
+        self, name: str, data: bytes, expires_at: float
+    ) -> HeldRecord | None:
+        """Return the answer of a node, or None if there is none in time."""
+        loop = asyncio.get_running_loop()
+        own = self._state.settings.instance
+        while (now := loop.time()) < expires_at:
+            member = self._state.members.get(name)
+            if member is None or member.state is MemberState.GONE:
+                return None
+            try:
+                peer = await self._links.get(member, expires_at=expires_at, now=now)
+                frame = HoldRecord(query=0, instance=own, data=data)
+                left_s = max(0.0, expires_at - loop.time())
+                answer = await peer.query(frame, timeout_s=left_s)
+            except (PeerUnreachableError, PeerLostError) as error:
+                log.debug("node %s not asked for a record: %s", name, error)
+                await asyncio.sleep(RETRY_S)
+                continue
+            return answer if isinstance(answer, HeldRecord) else None
+        return None
+
+
+def decode_held(frame: HeldRecord) -> Member | None:
+    """Return the record in a frame, None if there is none that can be read."""
+    if not frame.data:
+        return None
+    match decode_member(frame.data):
+        case Ok(member):
+            return member
+        case Err(reason):
+            log.warning("held member record skipped: %s", reason)
+            return None
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -2,16 +2,18 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
 
 from result import Result
 
+from pimentoscale.forwarding.copies import RecordCopies, decode_held
 from pimentoscale.forwarding.exchange import Messages
 from pimentoscale.forwarding.forwarder import Forwarder
 from pimentoscale.forwarding.links import Links
 from pimentoscale.forwarding.receiver import Receiver
+from pimentoscale.forwarding.recovery import Recovery
 from pimentoscale.forwarding.registry import MemberRegistry
 from pimentoscale.forwarding.relay import RecordRelay
 from pimentoscale.forwarding.routes import RouteUpdater
@@ -25,7 +27,7 @@
 from pimentoscale.metrics import Gauge
 from pimentoscale.routes import RouteTable
 from pimentoscale.store import RecordStore, TopicWatcher
-from pimentoscale.stream import Hello, TopicRecords
+from pimentoscale.stream import HeldRecord, Hello, TopicRecords
 from pimentoscale.stream.silence import HEARTBEAT_TIMEOUT_S
 from pimentoscale.suspension import SuspensionDetector, read_boot_time
 
@@ -65,7 +67,8 @@
         store: RecordStore,
         topics: StoreTopics,
         handle_announcement: Callable[
-            ["LocalTarget", HttpRequest, float], HttpResponse
+            ["LocalTarget", HttpRequest, float, Callable[[], Awaitable[bool]]],
+            Awaitable[HttpResponse],
         ],
         rng: random.Random,
         now: float,
@@ -76,7 +79,10 @@
         self._handle_announcement = handle_announcement
         self._store = store
         self.target = LocalTarget(settings=settings, messages=messages, now=now)
+        self.target.is_open = False
         self.links = Links(state=self.state)
+        self.copies = RecordCopies(state=self.state, links=self.links)
+        self.recovery = Recovery(copies=self.copies)
         self.views = NodeViews(own_instance=settings.instance, rng=rng)
         self.receiver = Receiver(state=self.state, target=self.target, links=self.links)
         self.forwarder = Forwarder(
@@ -100,6 +106,7 @@
             topic=topics.members,
             target=self.target,
             links=self.links,
+            copies=self.copies,
             views=self.views,
             rng=rng,
         )
@@ -127,7 +134,7 @@
                 replica=self.relay.replicas[topic],
                 may_read=self.relay.may_read[topic],
                 on_records=self.relay.receive,
-                on_result=self.relay.record_store_call,
+                on_result=self._record_store_call,
                 wait_ms=wait_ms,
                 pause_s=pause_s,
                 rng=rng,
@@ -158,6 +165,9 @@
         self.receiver.on_follow = self.relay.follow
         self.receiver.on_follower_lost = self.relay.remove_follower
         self.registry.on_written = self._handle_own_record_written
+        self.receiver.on_hold = self.copies.answer
+        self.receiver.on_notice = self._handle_notice
+        self.relay.on_loaded = self._handle_loaded
         self._degraded_importance: int | None = None
 
     async def start(self) -> None:
@@ -174,6 +184,7 @@
         self.relay.update(now=asyncio.get_running_loop().time())
         for watcher in self._watchers:
             self._spawn(watcher.run())
+        self._spawn(self._recover())
         self._spawn(self.registry.publish())
         self._spawn(self._tick())
         log.info(
@@ -250,7 +261,33 @@
     def _add_caller_route(self, route: str) -> None:
         self.forwarder.origins.add_caller_routes([route])
 
+    async def _recover(self) -> None:
+        """Use the target once it is known what was acknowledged before the start."""
+        former = await self.recovery.run()
+        now = asyncio.get_running_loop().time()
+        self.registry.complete_recovery(former, now=now)
+        self.target.is_open = True
+
+    def _handle_loaded(self) -> None:
+        self.recovery.add_record(self.registry.former)
+        self.recovery.record_loaded()
+
+    def _handle_notice(self, remote: Hello, frame: HeldRecord) -> None:
+        """Handle what another node holds of this one, also after the recovery."""
+        self.recovery.handle_notice(remote, frame)
+        record = decode_held(frame)
+        if record is not None and self.target.is_open:
+            now = asyncio.get_running_loop().time()
+            self.registry.apply_former(record, now=now)
+
+    def _record_store_call(self, succeeded: bool, now: float) -> None:
+        if not succeeded:
+            self.recovery.record_failure()
+        self.relay.record_store_call(succeeded, now)
+
     def _handle_stream_up(self, name: str) -> None:
+        # Sent before any request, so that the other side knows it when that arrives.
+        self.links.send(name, self.copies.make_notice(name))
         self.relay.on_up(name=name, now=asyncio.get_running_loop().time())
 
     def _handle_records(self, remote: Hello, frame: TopicRecords) -> None:
@@ -284,7 +321,9 @@
 
     async def _answer_announcement(self, request: HttpRequest) -> HttpResponse:
         now = asyncio.get_running_loop().time()
-        return self._handle_announcement(self.target, request, now)
+        return await self._handle_announcement(
+            self.target, request, now, self.registry.secure_departure
+        )
 
     async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
         metrics = self.state.metrics
--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -23,7 +23,9 @@
     Frame,
     FrameError,
     Heartbeat,
+    HeldRecord,
     Hello,
+    HoldRecord,
     Listener,
     RoutesRecord,
     finish_connections,
@@ -67,6 +69,8 @@
         self.on_degraded_route: Callable[[int], None] = lambda importance: None
         self.on_follow: Callable[[Connection, FollowTopics], None] | None = None
         self.on_follower_lost: Callable[[Connection], None] | None = None
+        self.on_hold: Callable[[HoldRecord], HeldRecord] | None = None
+        self.on_notice: Callable[[Hello, HeldRecord], None] | None = None
 
     @property
     def in_progress(self) -> int:
@@ -167,6 +171,12 @@
             case FollowTopics():
                 if self.on_follow is not None:
                     self.on_follow(session.connection, frame)
+            case HoldRecord():
+                if self.on_hold is not None:
+                    session.connection.send(self.on_hold(frame))
+            case HeldRecord():
+                if self.on_notice is not None:
+                    self.on_notice(session.remote, frame)
             case FetchRoutes():
                 session.connection.send(
                     RoutesRecord(query=frame.query, data=self._state.record)
--- a/src/pimentoscale/forwarding/registry.py
+++ b/src/pimentoscale/forwarding/registry.py
@@ -1,15 +1,20 @@
 """Reads and writes what nodes share in the store: members and caller routes.
 
+What a node acknowledges about its upstream's end must bind its next start as well, so
+an acknowledgement waits until the record is in the store or held by other nodes.
+
 Caller routes are kept there since a node that starts under heavy load could not
 identify them by itself: its target is never idle.
 """
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
 from result import Err, Ok
 
+from pimentoscale.forwarding.copies import RecordCopies, find_newest
 from pimentoscale.forwarding.links import Links
 from pimentoscale.forwarding.state import SidecarState
 from pimentoscale.forwarding.target import LocalTarget
@@ -27,6 +32,11 @@
 MAX_KEY_BYTES = 255
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 1.0
+# The upstream takes an acknowledgement for one only within a second.
+SECURE_TIMEOUT_S = 0.9
+# The store answers in up to 0.25 s when it is slow. Without its answer by then, copies
+# at other nodes are enough.
+STORE_WAIT_S = 0.5
 
 # The key of a member is the name of its instance.
 ROUTE_KEY_PREFIX = b"callers-route/"
@@ -51,6 +61,7 @@
         topic: str,
         target: LocalTarget,
         links: Links,
+        copies: RecordCopies,
         views: NodeViews,
         rng: random.Random,
     ) -> None:
@@ -59,14 +70,25 @@
         self._topic = topic
         self._target = target
         self._links = links
+        self._copies = copies
         self._views = views
         self._rng = rng
         self._changed = asyncio.Event()
+        self._recovered = asyncio.Event()
+        # Told whether the next write of this node's record has succeeded.
+        self._waiters: list[asyncio.Future[bool]] = []
+        # The last record that other nodes were asked to hold, and the task of that.
+        self._copied: Member | None = None
+        self._copying: asyncio.Task[bool] | None = None
         self._stored_routes: set[str] = set()
         self.on_caller_route: Callable[[str], None] | None = None
         self.on_written: Callable[[], None] | None = None
         # The last record of this node, which its end has to follow.
         self._own: Member | None = None
+        # The newest record of this node that is known to be in the store.
+        self._stored: Member | None = None
+        # The newest one from before its start.
+        self.former: Member | None = None
         target.on_change = self._on_target_change
 
     def apply_record(self, record: KeyedRecord) -> None:
@@ -98,19 +120,99 @@
             self._changed.set()
 
     async def publish(self) -> None:
-        """Write this node's record after each change; retry until the store has it."""
+        """Write this node's record after each change; retry until the store has it.
+
+        Nothing is written before the former record is known, which would be lost.
+        """
+        await self._recovered.wait()
+        delay_s = RETRY_MIN_S
         while True:
             await self._changed.wait()
             self._changed.clear()
+            waiters, self._waiters = self._waiters, []
             member = self.make_own_member()
-            if member is None:
-                continue
+            is_written = False
             try:
-                if not await self._try_put(member):
-                    self._changed.set()
+                is_written = member is None or await self._try_put(member)
             except Exception as error:
                 # A later record of this node can still be written.
                 log.error("own member record not written", exc_info=error)
+                delay_s = RETRY_MAX_S
+            for waiter in waiters:
+                if not waiter.done():
+                    waiter.set_result(is_written)
+            if is_written:
+                delay_s = RETRY_MIN_S
+                continue
+            await self._wait_for_change(delay_s * self._rng.uniform(0.5, 1.5))
+            delay_s = min(RETRY_MAX_S, 2 * delay_s)
+            self._changed.set()
+
+    def complete_recovery(self, former: Member | None, *, now: float) -> None:
+        """Apply this node's record from before its start, and publish later ones."""
+        if former is not None:
+            self.apply_former(former, now=now)
+        self._recovered.set()
+
+    def apply_former(self, member: Member, *, now: float) -> None:
+        """Apply a record of this node from before its start."""
+        if member.incarnation == self._state.incarnation:
+            return
+        former = find_newest((self.former, member)) or member
+        self.former = former
+        self._target.set_former_start(former.upstream, now=now)
+        if member.state is MemberState.ALIVE:
+            return
+        self._target.set_announcement_floor(
+            member.sequence, left_start=member.upstream, now=now
+        )
+        is_stored = self._stored is not None and (
+            self._stored.progress >= member.progress
+        )
+        if not is_stored and self._own is None:
+            # The former process was ended before it could write this.
+            self._own = member
+            self._changed.set()
+
+    async def secure_departure(self) -> bool:
+        """Return whether the end of the upstream is kept if this process ends.
+
+        It is once the store has the record; if the store does not take it, other nodes
+        may hold it instead. Return False if neither is so in `SECURE_TIMEOUT_S`.
+        """
+        try:
+            async with asyncio.timeout(SECURE_TIMEOUT_S):
+                await self._recovered.wait()
+                record = self.make_own_member()
+                if record is None or record.state is MemberState.ALIVE:
+                    return True
+                copying = self._start_copying(record)
+                return await self._is_stored(record) or await asyncio.shield(copying)
+        except TimeoutError:
+            return False
+
+    async def _is_stored(self, record: Member) -> bool:
+        """Return whether the store has a record; write it now if not."""
+        if record == self._stored:
+            return True
+        waiter: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        self._changed.set()
+        await asyncio.wait({waiter}, timeout=STORE_WAIT_S)
+        return waiter.done() and waiter.result()
+
+    def _start_copying(self, record: Member) -> asyncio.Task[bool]:
+        """Have other nodes hold a record; return the task, which may have ended."""
+        copying = self._copying
+        if copying is not None and self._copied == record:
+            has_failed = copying.done() and not copying.result()
+            if not has_failed:
+                return copying
+        self._copied = record
+        self._copying = asyncio.create_task(
+            self._copies.spread(record, timeout_s=SECURE_TIMEOUT_S)
+        )
+        return self._copying
 
     async def store_route(self, route: str) -> None:
         """Write a caller route to the store, unless another node has done so."""
@@ -130,7 +232,7 @@
         """Return this node's record, or None if it has no upstream and is no member."""
         settings = self._state.settings
         current = self._target.registration.current
-        last = self._own
+        last = self._own or self._find_ended_former()
         if current is None and last is None:
             return None
         state = MemberState.ALIVE
@@ -142,7 +244,9 @@
             instance=settings.instance,
             incarnation=self._state.incarnation,
             # Tells a restarted node which announcements are older than this record.
-            sequence=self._target.registration.changed,
+            sequence=max(
+                self._target.registration.changed, last.sequence if last else 0
+            ),
             state=state,
             zone=settings.zone,
             service=current.service if current else last.service if last else "",
@@ -152,26 +256,33 @@
             upstream=current.start if current else last.upstream if last else "",
         )
 
+    def _find_ended_former(self) -> Member | None:
+        """Return the former record if its upstream has ended since."""
+        former = self.former
+        if former and self._target.registration.has_ended(former.upstream):
+            return former
+        return None
+
     async def _try_put(self, member: Member) -> bool:
-        delay_s = RETRY_MIN_S
-        while True:
-            try:
-                await self._store.put(
-                    topic=self._topic,
-                    key=member.instance.encode(),
-                    value=encode_member(member),
-                )
-            except StoreError as error:
-                log.info("own member record not written, will retry: %s", error)
-                await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.5))
-                delay_s = min(RETRY_MAX_S, 2 * delay_s)
-                if self._changed.is_set():
-                    return False
-            else:
-                log.info("own member record written: state=%s", member.state.value)
-                if self.on_written is not None:
-                    self.on_written()
-                return True
+        try:
+            await self._store.put(
+                topic=self._topic,
+                key=member.instance.encode(),
+                value=encode_member(member),
+            )
+        except StoreError as error:
+            log.info("own member record not written, will retry: %s", error)
+            return False
+        self._stored = member
+        log.info("own member record written: state=%s", member.state.value)
+        if self.on_written is not None:
+            self.on_written()
+        return True
+
+    async def _wait_for_change(self, timeout_s: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
 
     def _apply_route(self, key: bytes) -> None:
         route = key.decode("utf-8", "replace")
@@ -186,12 +297,15 @@
             self._own = member
             self._apply(member, offset=-1, now=now)
             self._changed.set()
+            self._start_copying(member)
 
     def _apply(self, member: Member, *, offset: int, now: float) -> None:
         own = self._state.settings.instance
         if member.instance == own and offset >= 0:
             self._check_own_record(member, offset=offset)
             return
+        if member.instance != own and member.state is not MemberState.ALIVE:
+            self._copies.hold(member)
         if member.state is MemberState.GONE:
             self._remove(member.instance)
             return
@@ -219,14 +333,8 @@
         The store may complete a write seconds after its response was lost, and so put
         an older record after a newer one.
         """
-        if (
-            member.incarnation != self._state.incarnation
-            and member.state is not MemberState.ALIVE
-        ):
-            now = asyncio.get_running_loop().time()
-            self._target.set_announcement_floor(
-                member.sequence, left_start=member.upstream, now=now
-            )
+        self._stored = member
+        self.apply_former(member, now=asyncio.get_running_loop().time())
         current = self.make_own_member()
         if current is not None and member != current:
             log.info(
--- a/src/pimentoscale/forwarding/relay.py
+++ b/src/pimentoscale/forwarding/relay.py
@@ -46,6 +46,7 @@
         self._status_sent_at = now
         self.replicas = {topic: TopicReplica(topic=topic) for topic in handlers}
         self.may_read = {topic: asyncio.Event() for topic in handlers}
+        self.on_loaded: Callable[[], None] | None = None
         self.selection = SourceSelection(own_instance=state.settings.instance, now=now)
 
     def receive(
@@ -69,6 +70,8 @@
         now = asyncio.get_running_loop().time()
         if replica.topic == self._first_topic and replica.next_offset is not None:
             self.selection.record_loaded(now=now)
+            if self.on_loaded is not None:
+                self.on_loaded()
         if newer:
             self._send_to_followers(self._make_frame(replica, newer, now=now))
 
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -77,6 +77,8 @@
         self._root_limiter = RootRequestLimiter(capacity=1)
         self._client = HttpClient(address=settings.upstream, limit=DEFAULT_CONNECTIONS)
         self.registration = UpstreamRegistration(address=settings.upstream)
+        # Until this node knows what it acknowledged before a restart, nothing is sent.
+        self.is_open = True
         self.in_progress = 0
         self._run_count = 0
         # Deadlines passed on with the requests that run, by their number.
@@ -126,6 +128,12 @@
             log.info("upstream removed: its end was published before the restart")
             self._apply_change(self._queue.slots, now)
 
+    def set_former_start(self, start: str, *, now: float) -> None:
+        """Set the start of the upstream that was registered before a restart."""
+        if self.registration.set_former_start(start):
+            log.info("upstream %s removed: it was deregistered", start)
+            self._apply_change(self._queue.slots, now)
+
     def set_connection_limit(self, limit: int) -> None:
         """Set how many connections the upstream accepts."""
         self._client.limit = max(1, limit - SPARE_CONNECTIONS)
@@ -176,7 +184,7 @@
     async def run(self, request: ForwardRequest) -> Attempt:
         """Run one request and return its attempt, with the complete response if any."""
         current = self.registration.current
-        if current is None or current.service != request.service:
+        if not self.is_open or current is None or current.service != request.service:
             return self._add_load(Attempt.make_not_run(ErrorKind.NO_TARGET))
         if current.is_draining:
             return self._add_load(Attempt.make_not_run(ErrorKind.DRAINING))
--- a/src/pimentoscale/membership/member.py
+++ b/src/pimentoscale/membership/member.py
@@ -57,6 +57,11 @@
         """Return the order key: of two announcements of a member the greater wins."""
         return (self.incarnation, self.sequence, _RANKS[self.state])
 
+    @property
+    def progress(self) -> tuple[int, int]:
+        """Return the order key over restarts of the node, by its upstream's state."""
+        return (self.sequence, _RANKS[self.state])
+
 
 _DECODER = msgspec.msgpack.Decoder(Member)
 _ROSTER_DECODER = msgspec.msgpack.Decoder(list[Member])
--- a/src/pimentoscale/membership/upstream.py
+++ b/src/pimentoscale/membership/upstream.py
@@ -75,6 +75,7 @@
         "_ended_at",
         "_ended_starts",
         "_floor",
+        "_former_start",
         "_left_start",
         "address",
         "changed",
@@ -90,6 +91,8 @@
         self._ended_at: dict[str, float] = {}
         self._floor = 0
         self._left_start = ""
+        # Identity and start of the upstream before this node's start, if known.
+        self._former_start: tuple[str, int] | None = None
 
     @property
     def accepts_work(self) -> bool:
@@ -113,6 +116,32 @@
         self.current = None
         return True
 
+    def set_former_start(self, start: str) -> bool:
+        """Set the start of the upstream that was registered before this node's start.
+
+        Return whether it has ended meanwhile and was the current one.
+        """
+        identity, _, started_ms = start.rpartition("/")
+        if not identity or not started_ms.isdecimal():
+            return False
+        self._former_start = (identity, int(started_ms))
+        if self._ended_at.pop(identity, None) is None:
+            return False
+        self._end_start(identity, int(started_ms))
+        current = self.current
+        if current is None or not self.has_ended(current.start):
+            return False
+        self.current = None
+        return True
+
+    def has_ended(self, start: str) -> bool:
+        """Return whether this start of an upstream was deregistered."""
+        identity, _, started_ms = start.rpartition("/")
+        ended_ms = self._ended_starts.get(identity)
+        if ended_ms is None or not started_ms.isdecimal():
+            return False
+        return int(started_ms) <= ended_ms
+
     def set_leaving(self) -> bool:
         """Give the upstream no more work, as it leaves; return whether that is new.
 
@@ -163,15 +192,24 @@
         return ApplyResult.UNCHANGED
 
     def deregister(self, *, identity: str, now: float) -> bool:
-        """Deregister an upstream that has gone; return whether it was current.
+        """Deregister an upstream that has gone; return whether it was the known one.
 
         If it was, late announcements of the same start are stale.
         """
         current = self.current
         if current is None or current.identity != identity:
+            former = self._former_start
+            if former is not None and former[0] == identity:
+                self._end_start(identity, former[1])
+                return current is None
             if identity not in self._ended_starts:
                 self._ended_at[identity] = now
             return False
-        self._ended_starts[identity] = current.started_ms
+        self._end_start(identity, current.started_ms)
         self.current = None
         return True
+
+    def _end_start(self, identity: str, started_ms: int) -> None:
+        """Note that an upstream's starts up to this one have ended."""
+        ended_ms = self._ended_starts.get(identity, 0)
+        self._ended_starts[identity] = max(ended_ms, started_ms)
--- a/src/pimentoscale/stream/frames.py
+++ b/src/pimentoscale/stream/frames.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-PROTOCOL_VERSION = 5
+PROTOCOL_VERSION = 6
 
 FRAMES: dict[int, type["Frame"]] = {}
 CODES: dict[type["Frame"], int] = {}
@@ -335,3 +335,29 @@
     """A caller route of this importance fails or is late at the sender's target."""
 
     importance: int
+
+
+@register_frame(24)
+class HoldRecord(Frame, kw_only=True):
+    """Asks for the newest member record of a node that the receiver holds.
+
+    `data` is a record of that node for the receiver to hold; empty if there is none.
+    """
+
+    query: int
+    instance: str
+    data: bytes
+
+
+@register_frame(25)
+class HeldRecord(Frame, kw_only=True):
+    """The newest member record that the sender holds of a node; empty if none.
+
+    `query` is 0 if the record is that of the receiver and was not asked for. `holders`
+    is then how many nodes hold that record, as far as the sender knows; 0 if the sender
+    is none of them.
+    """
+
+    query: int
+    data: bytes
+    holders: int = 0
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -29,6 +29,7 @@
     ForwardReply,
     Frame,
     Heartbeat,
+    HeldRecord,
     Hello,
     Records,
     Reply,
@@ -395,7 +396,7 @@
                 self._handle_chunk(frame)
             case Credit():
                 self._handle_credit(frame)
-            case Verdict() | ForwardReply() | RoutesRecord():
+            case Verdict() | ForwardReply() | RoutesRecord() | HeldRecord():
                 self._handle_query_reply(frame)
             case Records():
                 self._observer.on_records(frame=frame)
@@ -456,7 +457,9 @@
         if pending is not None and pending.sender is not None:
             pending.sender.window.add(size=frame.size)
 
-    def _handle_query_reply(self, frame: Verdict | ForwardReply | RoutesRecord) -> None:
+    def _handle_query_reply(
+        self, frame: Verdict | ForwardReply | RoutesRecord | HeldRecord
+    ) -> None:
         answer = self._queries.get(frame.query)
         if answer is None or answer.done():
             self.dropped_frames += 1
--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,350 @@
+"""Tests that an acknowledged departure of a target binds the next start of its node."""
+
+import asyncio
+import base64
+import itertools
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+import pytest
+
+from pimentoscale.forwarding.copies import (
+    count_answers,
+    count_copies,
+    decode_held,
+    rank_holders,
+)
+from pimentoscale.forwarding.node import Sidecar
+from pimentoscale.http import IncompleteResponseError
+from pimentoscale.membership import MemberState, decode_member
+from pimentoscale.membership.upstream import UpstreamAnnouncement
+from tests.sidecars import Deployment, Machine, run_one_zone, wait_until
+
+# How long requests are sent after a restart.
+WATCH_S = 1.0
+# A target takes a later answer to an announcement for none.
+ACKNOWLEDGED_WITHIN_S = 1.0
+
+Departure = Callable[[Machine], Awaitable[int]]
+
+
+def is_registered(machine: Machine) -> bool:
+    """Return whether all that the node has to write is in the store."""
+    return machine.sidecar.relay.selection._registered_at is not None
+
+
+async def announce_draining(machine: Machine) -> int:
+    machine.target.stop_announcing()
+    machine.target.state = "draining"
+    return await machine.target.announce()
+
+
+async def deregister(machine: Machine) -> int:
+    return await machine.target.deregister()
+
+
+async def announce_late(machine: Machine) -> None:
+    """Deliver an announcement that the target sent before it left."""
+    machine.target.state = "ready"
+    async with asyncio.timeout(5):
+        while True:
+            try:
+                await machine.target.announce()
+                return
+            except IncompleteResponseError:
+                await asyncio.sleep(0.02)
+
+
+def has_members(machine: Machine) -> bool:
+    """Return whether the node has read the members since its start."""
+    return bool(machine.sidecar.state.members)
+
+
+def find_held_start(holder: Sidecar) -> str:
+    """Return the start of m0's target in the record that another node holds."""
+    member = decode_held(holder.copies.make_notice("m0"))
+    return member.upstream if member else ""
+
+
+def read_stored_state(deployment: Deployment, machine: Machine) -> MemberState:
+    """Return the state in a machine's member record in the store."""
+    newest = deployment.service.describe_newest("keyed.members")
+    values = {item["key"]: item["value"] for item in newest["items"]}
+    value = base64.b64decode(values[machine.settings.instance])
+    return decode_member(value).unwrap().state
+
+
+def make_announcement(machine: Machine) -> UpstreamAnnouncement:
+    """Return an announcement that a machine's target has sent before."""
+    target = machine.target
+    return UpstreamAnnouncement(
+        identity=target.identity,
+        service=target.service,
+        address=target.address,
+        zone=target.zone,
+        slots=target.slots,
+        is_draining=False,
+        warm_up_s=0,
+        started_ms=target.born,
+        sequence=1000,
+    )
+
+
+async def count_requests(deployment: Deployment, machine: Machine) -> int:
+    """Send requests at another machine; return how many reach a machine's target."""
+    name = machine.settings.instance
+    entry = deployment.machines["m1"].sidecar
+    await wait_until(lambda: entry.links.is_up(name) or name not in entry.state.members)
+    since = machine.target.record.arrivals.total()
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + WATCH_S
+    while loop.time() < ends_at:
+        await asyncio.gather(*(deployment.send("m1", "/rb/x") for _ in range(6)))
+    return machine.target.record.arrivals.total() - since
+
+
+def set_store_down(deployment: Deployment) -> None:
+    deployment.service.faults.is_down = True
+
+
+def hang_store(deployment: Deployment) -> None:
+    deployment.service.faults.delay_ms = 5000
+
+
+def set_store_up(deployment: Deployment) -> None:
+    deployment.service.faults.is_down = False
+    deployment.service.faults.delay_ms = 0
+
+
+@pytest.mark.parametrize("returns", ["before", "after"])
+@pytest.mark.parametrize("fail_store", [set_store_down, hang_store])
+@pytest.mark.parametrize("depart", [announce_draining, deregister])
+def test_departure_acknowledged_in_an_outage_binds_the_next_start_of_the_node(
+    depart: Departure, fail_store: Callable[[Deployment], None], returns: str
+) -> None:
+    """The record of a departure was lost if the node ended before it could write it."""
+
+    async def scenario() -> None:
+        async with run_one_zone(machines=3) as deployment:
+            loop = asyncio.get_running_loop()
+            leaving = deployment.machines["m0"]
+            await wait_until(lambda: is_registered(leaving))
+            fail_store(deployment)
+            began = loop.time()
+            assert await depart(leaving) == 200
+            assert loop.time() - began < ACKNOWLEDGED_WITHIN_S
+            deployment.end_node("m0")
+            # The store answers what the node has sent it.
+            await asyncio.sleep(0.2)
+            if returns == "before":
+                set_store_up(deployment)
+            leaving.sidecar = await deployment.start_node(leaving.settings)
+            await announce_late(leaving)
+            assert await count_requests(deployment, leaving) == 0
+            if returns == "after":
+                set_store_up(deployment)
+                await announce_late(leaving)
+                assert await count_requests(deployment, leaving) == 0
+            # The store learns of it from the next start.
+            entry = deployment.machines["m1"].sidecar
+            await wait_until(lambda: entry.views.find("m0") is None)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("depart", [announce_draining, deregister])
+def test_departure_that_nothing_keeps_is_not_acknowledged(depart: Departure) -> None:
+    """An acknowledgement that only the node's memory held was lost with it."""
+
+    async def scenario() -> None:
+        async with run_one_zone(machines=1) as deployment:
+            leaving = deployment.machines["m0"]
+            await wait_until(lambda: is_registered(leaving))
+            set_store_down(deployment)
+            assert await depart(leaving) == 503
+            # The target gets nothing more even so.
+            assert not leaving.sidecar.target.registration.accepts_work
+            set_store_up(deployment)
+            assert await depart(leaving) == 200
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("depart", [announce_draining, deregister])
+def test_departure_is_acknowledged_only_after_its_write_while_the_store_is_up(
+    depart: Departure,
+) -> None:
+    """All nodes may end at once right after an acknowledgement."""
+
+    async def scenario() -> None:
+        async with run_one_zone(machines=3) as deployment:
+            leaving = deployment.machines["m0"]
+            await wait_until(lambda: is_registered(leaving))
+            deployment.service.faults.delay_ms = 200
+            assert await depart(leaving) == 200
+            assert read_stored_state(deployment, leaving) is not MemberState.ALIVE
+
+    asyncio.run(scenario())
+
+
+def test_restarted_node_sends_nothing_before_it_has_read_its_own_record() -> None:
+    """A late announcement was used until the node had read that its target left."""
+
+    async def scenario() -> None:
+        async with run_one_zone(machines=3) as deployment:
+            leaving = deployment.machines["m0"]
+            await wait_until(lambda: is_registered(leaving))
+            assert await deregister(leaving) == 200
+            deployment.end_node("m0")
+            deployment.service.faults.delay_ms = 400
+            leaving.sidecar = await deployment.start_node(leaving.settings)
+            await announce_late(leaving)
+            assert await count_requests(deployment, leaving) == 0
+            assert not leaving.sidecar.target.registration.accepts_work
+
+    asyncio.run(scenario())
+
+
+def test_restarted_node_uses_its_target_though_the_store_is_down() -> None:
+    """The other nodes tell it that nothing was acknowledged."""
+
+    async def scenario() -> None:
+        async with run_one_zone(machines=3) as deployment:
+            machine = deployment.machines["m0"]
+            await wait_until(lambda: is_registered(machine))
+            set_store_down(deployment)
+            await deployment.restart_node("m0")
+            await wait_until(lambda: machine.sidecar.target.is_open)
+            await wait_until(lambda: machine.sidecar.target.registration.accepts_work)
+            assert await count_requests(deployment, machine) > 0
+
+    asyncio.run(scenario())
+
+
+def test_departure_outlives_several_starts_of_the_node() -> None:
+    """Each start passes on the record with the serial of the former one."""
+
+    async def scenario() -> None:
+        async with run_one_zone(machines=3) as deployment:
+            leaving = deployment.machines["m0"]
+            await wait_until(lambda: is_registered(leaving))
+            set_store_down(deployment)
+            assert await deregister(leaving) == 200
+            await deployment.restart_node("m0")
+            set_store_up(deployment)
+            entry = deployment.machines["m1"].sidecar
+            await wait_until(lambda: entry.views.find("m0") is None)
+            for _ in range(2):
+                await deployment.restart_node("m0")
+                await announce_late(leaving)
+                await wait_until(lambda: leaving.sidecar.target.is_open)
+                assert not leaving.sidecar.target.registration.accepts_work
+                assert await count_requests(deployment, leaving) == 0
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("has_store", [True, False])
+def test_restarted_node_that_is_told_of_a_departure_first_knows_its_start(
+    has_store: bool,
+) -> None:
+    """Late announcements were ignored for a time only, and not by the next start."""
+
+    async def scenario() -> None:
+        async with run_one_zone(machines=3) as deployment:
+            leaving = deployment.machines["m0"]
+            await wait_until(lambda: is_registered(leaving))
+            leaving.target.stop_announcing()
+            deployment.service.faults.is_down = not has_store
+            if not has_store:
+                # Another start of the target, of which the store has no record.
+                leaving.target.born += 1000
+                await announce_late(leaving)
+                start = make_announcement(leaving).start
+                for name in ("m1", "m2"):
+                    holder = deployment.machines[name].sidecar
+                    await wait_until(lambda: find_held_start(holder) == start)  # noqa: B023
+            for is_store_up in (has_store, True):
+                await deployment.restart_node("m0")
+                await wait_until(lambda: leaving.sidecar.target.is_open)
+                if not is_store_up:
+                    # It knows no other nodes yet.
+                    assert await deregister(leaving) == 503
+                    set_store_up(deployment)
+                    await wait_until(lambda: has_members(leaving))
+                assert await deregister(leaving) == 200
+                target = leaving.sidecar.target
+                late = asyncio.get_running_loop().time() + 3600
+                announcement = make_announcement(leaving)
+                target.apply_announcement(announcement, now=late)
+                assert not target.registration.accepts_work
+
+    asyncio.run(scenario())
+
+
+def test_new_start_of_a_target_is_used_after_a_departure_in_an_outage() -> None:
+    """A departure binds one start of a target, not those that follow."""
+
+    async def scenario() -> None:
+        async with run_one_zone(machines=3) as deployment:
+            machine = deployment.machines["m0"]
+            await wait_until(lambda: is_registered(machine))
+            set_store_down(deployment)
+            assert await deregister(machine) == 200
+            await deployment.restart_node("m0")
+            machine.target.born += 1000
+            await announce_late(machine)
+            set_store_up(deployment)
+            await wait_until(lambda: machine.sidecar.target.is_open)
+            await announce_late(machine)
+            await wait_until(lambda: machine.sidecar.target.registration.accepts_work)
+            entry = deployment.machines["m1"].sidecar
+            await wait_until(lambda: entry.views.find("m0") is not None)
+            assert await count_requests(deployment, machine) > 0
+
+    asyncio.run(scenario())
+
+
+def test_older_record_read_later_does_not_hide_the_newest_start() -> None:
+    """The store may hold an older start than the nodes that hold copies do."""
+
+    async def scenario() -> None:
+        async with run_one_zone(machines=1) as deployment:
+            node = deployment.machines["m0"].sidecar
+            target = deployment.machines["m0"].target
+            target.stop_announcing()
+            own = node.registry.make_own_member()
+            assert own is not None
+            newest = replace(
+                own, incarnation=1, sequence=own.sequence + 5, upstream="i/9"
+            )
+            node.registry.apply_former(newest, now=0.0)
+            older = replace(own, incarnation=2, sequence=1, upstream="i/3")
+            node.registry.apply_former(older, now=0.0)
+            node.target.deregister(identity="i", now=0.0)
+            assert node.target.registration.has_ended("i/9")
+            assert not node.target.registration.has_ended("i/10")
+
+    asyncio.run(scenario())
+
+
+def test_a_record_that_is_kept_is_among_the_answers_that_are_needed() -> None:
+    for holders in range(1, 16):
+        names = [f"n{index}" for index in range(holders)]
+        copies, answers = count_copies(holders), count_answers(holders)
+        assert copies + answers > holders
+        if holders < 7:
+            for kept in itertools.combinations(names, copies):
+                for asked in itertools.combinations(names, answers):
+                    assert set(kept) & set(asked)
+    assert count_answers(0) == 0
+
+
+def test_holders_of_a_record_are_few_and_the_same_for_all_nodes() -> None:
+    names = [f"n{index}" for index in range(100)]
+    holders = rank_holders("n7", names)
+    assert len(holders) == 15
+    assert "n7" not in holders
+    assert rank_holders("n7", reversed(names)) == holders
+    # Another member changes few of them.
+    assert len(set(rank_holders("n7", [*names, "n100"])) - set(holders)) <= 1
