Bound heads and trailers without end on the own interface

Cause: the head of an answer was bounded, its trailers and chunk extensions were not; each tiny chunk was kept as an object; closed connections stayed until the garbage collector ran. Uvicorn has no bound on the head of a request at all.

A body's parts are passed on once for the bytes that arrived together, and uvicorn's protocol counts what belongs to no body.

--- a/src/pimentoscale/programs/node.py
+++ b/src/pimentoscale/programs/node.py
@@ -22,6 +22,7 @@
 from pimentoscale.garbage_collection import configure_garbage_collector
 from pimentoscale.ingress.control import CONTROL_HANDLERS
 from pimentoscale.ingress.endpoint import CALL_PATH_PREFIX, CallEndpoint
+from pimentoscale.ingress.protocol import LimitedHttpProtocol
 from pimentoscale.logs import configure_logs, get_logger
 from pimentoscale.node.node import Node
 from pimentoscale.policy import get_policy, list_policies
@@ -145,7 +146,7 @@
         host=settings.http.host,
         port=settings.http.port,
         loop="uvloop",
-        http="httptools",
+        http=LimitedHttpProtocol,
         ws="none",
         lifespan="off",
         interface="asgi3",
--- a/src/pimentoscale/upstream/connection.py
+++ b/src/pimentoscale/upstream/connection.py
@@ -7,9 +7,11 @@
 from pimentoscale.call import Body, Header
 from pimentoscale.call.body import WINDOW_BYTES
 
-# Bytes without the end of a head after which the connection is closed: an upstream in
-# trouble may send a head that never ends. A body is read only as its reader takes it.
+# Bytes outside a body, and header lines, after which the connection is closed: an
+# upstream in trouble may send a head or trailers that never end. A body is read only as
+# its reader takes it.
 MAX_HEAD_BYTES = 64 * 1024
+MAX_HEADERS = 256
 
 
 class UpstreamConnectionError(Exception):
@@ -29,8 +31,10 @@
         self._complete: asyncio.Future[None] | None = None
         self._writable: asyncio.Future[None] | None = None
         self._is_closed = False
-        self._is_in_head = True
         self._head_received = 0
+        # The parts of the body in the bytes that are parsed now.
+        self._parts: list[bytes] = []
+        self._has_body = False
         self._is_reading_paused = False
         self.headers: list[Header] = []
         self.body = Body()
@@ -51,7 +55,6 @@
         self._status = loop.create_future()
         self._complete = loop.create_future()
         self._parser = httptools.HttpResponseParser(self)
-        self._is_in_head = True
         self._head_received = 0
         self.headers = []
         self.body = Body(on_read=self._on_read, on_discard=self.close)
@@ -92,14 +95,16 @@
         if self._parser is None or self.is_idle:
             self.close()
             return
+        self._has_body = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(f"not HTTP: {error}")
             self.close()
             return
+        self._pass_on_body()
         # Informational responses without end count as a head too.
-        self._head_received += len(data) if self._is_in_head else 0
+        self._head_received = 0 if self._has_body else self._head_received + len(data)
         if self._head_received > MAX_HEAD_BYTES:
             self._fail(f"no end of the head after {self._head_received} bytes")
             self.close()
@@ -109,6 +114,10 @@
         self._is_closed = True
         self.resume_writing()
         self._fail("the connection ended")
+        # These refer to this connection: the garbage collector would keep them for
+        # long. The body's reader may still take what has arrived.
+        self._parser = self._transport = None
+        self.body = Body()
 
     def pause_writing(self) -> None:
         """Suspend `send_body` while the write buffer is full."""
@@ -123,6 +132,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add one header of the answer."""
+        if len(self.headers) >= MAX_HEADERS:
+            raise httptools.HttpParserError("too many header lines")
         self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -132,13 +143,21 @@
         if status < 200:
             self.headers = []
             return
-        self._is_in_head = False
         if self._status is not None and not self._status.done():
             self._status.set_result(status)
 
     def on_body(self, data: bytes) -> None:
-        """Add a part of the body; pause reading once the window is full."""
-        self.body.feed(data)
+        """Add a part of the body."""
+        self._has_body = True
+        self._parts.append(data)
+
+    def _pass_on_body(self) -> None:
+        """Pass on what has arrived; pause reading once the window is full."""
+        if not self._parts:
+            return
+        # One chunk, however many parts it came in.
+        self.body.feed(b"".join(self._parts))
+        self._parts.clear()
         if self.body.buffered_bytes >= WINDOW_BYTES and self._transport is not None:
             self._transport.pause_reading()
             self._is_reading_paused = True
@@ -148,6 +167,7 @@
         assert self._parser is not None
         if self._parser.get_status_code() < 200:
             return
+        self._pass_on_body()
         self.body.finish()
         if self._complete is not None and not self._complete.done():
             self._complete.set_result(None)
