State the service of the settings, not that of the last heartbeat

Cause: the registered service went before that of the settings, announcements were checked by their address only, and names could hold any characters.

Change: the settings' service goes first, announcements of another service are ignored, and names are visible ASCII without white space.

--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -145,8 +145,9 @@
         remaining_s = _get_remaining_s(metadata)
         headers = drop_connection_headers(request.headers)
         upstream = self._target.registration.current
+        # The settings go first: an announcement may come from another writer.
         own_service = self._state.settings.upstream_service
-        if upstream is not None:
+        if not own_service and upstream is not None:
             own_service = upstream.service
         message = HttpRequest(
             method=request.method,
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -76,7 +76,9 @@
         self._queue = TargetQueue(now=now)
         self._root_limiter = RootRequestLimiter(capacity=1)
         self._client = HttpClient(address=settings.upstream, limit=DEFAULT_CONNECTIONS)
-        self.registration = UpstreamRegistration(address=settings.upstream)
+        self.registration = UpstreamRegistration(
+            address=settings.upstream, service=settings.upstream_service
+        )
         # Until this node knows what it acknowledged before a restart, nothing is sent.
         self.is_open = True
         self.in_progress = 0
--- a/src/pimentoscale/membership/upstream.py
+++ b/src/pimentoscale/membership/upstream.py
@@ -68,7 +68,7 @@
 
     Only the node beside an upstream sends work to it, so once the upstream is
     registered as draining, no further work reaches it. `changed` is the serial of the
-    announcement that changed the registration last.
+    announcement that changed the registration last. An empty `service` allows any.
     """
 
     __slots__ = (
@@ -80,10 +80,12 @@
         "address",
         "changed",
         "current",
+        "service",
     )
 
-    def __init__(self, *, address: Address) -> None:
+    def __init__(self, *, address: Address, service: str = "") -> None:
         self.address = address
+        self.service = service
         self.current: UpstreamAnnouncement | None = None
         self.changed = 0
         self._ended_starts: dict[str, int] = {}
@@ -155,9 +157,11 @@
         return True
 
     def apply(self, announcement: UpstreamAnnouncement, *, now: float) -> ApplyResult:
-        """Apply an announcement unless it is stale or about another address."""
+        """Apply an announcement unless it is stale or about another upstream."""
         if announcement.address != self.address:
             return ApplyResult.FOREIGN
+        if self.service and announcement.service != self.service:
+            return ApplyResult.FOREIGN
         is_left = announcement.start == self._left_start
         is_outdated = announcement.serial <= self._floor or is_left
         if is_outdated and not announcement.is_draining:
--- a/src/pimentoscale/platform/announcement.py
+++ b/src/pimentoscale/platform/announcement.py
@@ -1,5 +1,6 @@
 """Decoding of a target's announcement of itself."""
 
+import re
 from typing import Annotated, Literal
 
 import msgspec
@@ -15,11 +16,15 @@
 MAX_ANNOUNCEMENT_BYTES = 64 * 1024
 MAX_COLD_S = 86_400
 
+# Names are sent on in headers: no white space, line ends or other control characters.
+NAME_PATTERN = r"\A[!-~]+\Z"
+
 Text = Annotated[str, Meta(min_length=1, max_length=256)]
+Name = Annotated[str, Meta(min_length=1, max_length=256, pattern=NAME_PATTERN)]
 
 
 class _Announcement(msgspec.Struct):
-    service: Text
+    service: Name
     address: Text
     zone: Text
     version: str
@@ -73,6 +78,7 @@
     if name == path or not name or b"/" in name or len(name) > 256:
         return None
     try:
-        return name.decode("ascii")
+        identity = name.decode("ascii")
     except UnicodeDecodeError:
         return None
+    return identity if re.match(NAME_PATTERN, identity) else None
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -41,7 +41,7 @@
 from pimentoscale.membership.directory import Directory
 from pimentoscale.membership.member import decode_member, decode_roster, encode_member
 from pimentoscale.peering.overlay import Overlay
-from pimentoscale.platform.announcement import decode_announcement
+from pimentoscale.platform.announcement import decode_announcement, decode_identity
 from pimentoscale.platform.configuration import decode_configuration
 from pimentoscale.platform.settings import decode_settings
 from pimentoscale.platform.store import StoreClient
@@ -592,6 +592,39 @@
     run_zone(scenario)
 
 
+@pytest.mark.parametrize(
+    "service",
+    ["nothing", "b\r\nx-injected: 1", "b\nx", "b x", "b\x00", "b\x7f", "bé"],
+)
+def test_announcement_of_another_service_changes_nothing_that_a_node_states(
+    service: str,
+) -> None:
+    """A heartbeat added any header lines to the requests of all callers."""
+
+    async def scenario(deployment: Deployment) -> None:
+        machine = deployment.machines["m1"]
+        machine.target.stop_announcing()
+        body = make_own_announcement(
+            machine, service=service, sequence=10**6, born=10**9
+        )
+        assert await put(machine, body) in (200, 400)
+        runs: list[dict[str, str]] = []
+        for _ in range(40):
+            assert (await deployment.send("m1", "/rb/x")).status == 200
+        for other in deployment.machines.values():
+            runs.extend(other.target.record.headers.values())
+        assert {headers["caller-service"] for headers in runs} == {"b"}
+        assert not any("x-injected" in headers for headers in runs)
+        assert machine.sidecar.target.registration.accepts_work
+
+    run_zone(scenario)
+
+
+@pytest.mark.parametrize("identity", [b"i\r\nx", b"i x", b"i\x00", b"i\x7f"])
+def test_identity_that_can_end_a_header_line_is_refused(identity: bytes) -> None:
+    assert decode_identity(b"/v1/instances/" + identity) is None
+
+
 def test_announcement_that_cannot_be_read_is_answered() -> None:
     async def scenario(deployment: Deployment) -> None:
         machine = deployment.machines["m0"]
