Order the records of a node by the start of its upstream

Cause: records were compared by the serial of an announcement. A departure without an announcement of its own has that of the one before, so a late announcement of the same start counted as newer wherever it was taken for valid once.

Change: the later start wins, then the later state, then the serial. A starting node also asks all holders of its record, not only as many as are needed if none of them has started again.

Evidence: tests/test_departures.py with stories of random departures, restarts and faults of the store.

--- a/src/pimentoscale/forwarding/copies.py
+++ b/src/pimentoscale/forwarding/copies.py
@@ -1,11 +1,13 @@
 """Copies of members' records, held by other nodes.
 
 A node may have to acknowledge that its upstream leaves while the store is down, and be
-killed before it could write that. Its next start gets the record from these nodes. What
-most of them hold is found by asking the rest and one more.
+killed before it could write that. Its next start gets the record from these nodes. A
+record is kept once most of them hold it. A starting node asks all, since some may have
+started again as well, and needs enough answers to hear of each record that is kept.
 """
 
 import asyncio
+import logging
 from collections.abc import Iterable
 
 import xxhash
@@ -50,7 +52,7 @@
 def find_newest(members: Iterable[Member | None]) -> Member | None:
     """Return the record with the latest state of the upstream, None without any."""
     found = [member for member in members if member is not None]
-    return max(found, key=lambda member: member.progress, default=None)
+    return max(found, key=lambda member: member.upstream_order, default=None)
 
 
 def rank_holders(instance: str, names: Iterable[str]) -> list[str]:
@@ -126,14 +128,15 @@
         """
         names = self._list_holders(self._state.settings.instance)
         needed = count_answers(len(names))
-        answers = await self._ask(names, b"", needed=needed, timeout_s=timeout_s)
-        if len(answers) < needed:
-            log.warning(
-                "own member record asked for: answers=%d needed=%d in %.1f s",
-                len(answers),
-                needed,
-                timeout_s,
-            )
+        answers = await self._ask(names, b"", needed=len(names), timeout_s=timeout_s)
+        level = logging.INFO if len(answers) >= needed else logging.WARNING
+        log.log(
+            level,
+            "own member record asked for: answers=%d needed=%d holders=%d",
+            len(answers),
+            needed,
+            len(names),
+        )
         found = [decode_held(answer) for answer in answers]
         return [member for member in found if member is not None]
 
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -152,6 +152,7 @@
         self.links.on_version = self.routes.start_fetch
         self.links.on_draining_state = self._set_draining
         self._outgoing.on_closed = self.forwarder.origins.remove_connection
+        self.target.knows_service = self._knows_service
         self.target.get_rank = self.forwarder.get_rank
         self.target.count_calls = self.forwarder.origins.count_inner
         self.target.limit_deadline = self.state.shutdown.limit_deadline
@@ -344,6 +345,14 @@
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         return HttpResponse(status=200, headers=headers, body=metrics.render())
 
+    def _knows_service(self, service: str) -> bool:
+        """Return whether the settings or the configuration name a service."""
+        table = self.state.table
+        named = self.state.settings.upstream_service
+        if table is not None and service in table.services:
+            return True
+        return service == named or not named
+
     def _get_store_age_s(self) -> float:
         """Return how long ago the store last responded; -1 if it never has."""
         times = [
--- a/src/pimentoscale/forwarding/recovery.py
+++ b/src/pimentoscale/forwarding/recovery.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import logging
 
 from pimentoscale.forwarding.copies import (
     RecordCopies,
@@ -19,6 +20,9 @@
 # How long a starting node waits for the other nodes that hold its record. Those that
 # have ended do not answer.
 ANSWERS_TIMEOUT_S = 1.0
+# The same while the store is down, for nodes that open a stream to it: they try again
+# after at most two seconds.
+NOTICES_TIMEOUT_S = 2.5
 
 log = get_logger("members")
 
@@ -92,19 +96,23 @@
         return self._has_failed and bool(self._informants)
 
     async def _await_notices(self) -> None:
-        """Wait for enough holders, or until the store can be read after all."""
+        """Wait for all holders, or until the store can be read after all."""
         try:
-            async with asyncio.timeout(ANSWERS_TIMEOUT_S):
-                while not self._is_loaded:
-                    if len(self._informants) >= count_answers(self._holders):
-                        return
+            async with asyncio.timeout(NOTICES_TIMEOUT_S):
+                while not self._is_loaded and len(self._informants) < self._holders:
                     await self._wait_for_change()
         except TimeoutError:
-            log.warning(
-                "own member record: %d of %d holders known in %.1f s",
+            needed = count_answers(self._holders)
+            level = logging.INFO
+            if len(self._informants) < needed:
+                level = logging.WARNING
+            log.log(
+                level,
+                "own member record: informants=%d needed=%d holders=%d in %.1f s",
                 len(self._informants),
+                needed,
                 self._holders,
-                ANSWERS_TIMEOUT_S,
+                NOTICES_TIMEOUT_S,
             )
 
     async def _wait_for_change(self) -> None:
--- a/src/pimentoscale/forwarding/registry.py
+++ b/src/pimentoscale/forwarding/registry.py
@@ -167,7 +167,7 @@
             member.sequence, left_start=member.upstream, now=now
         )
         is_stored = self._stored is not None and (
-            self._stored.progress >= member.progress
+            self._stored.upstream_order >= member.upstream_order
         )
         if not is_stored and self._own is None:
             # The former process was ended before it could write this.
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -65,8 +65,9 @@
 
     A request is sent at most once, and only while the upstream is registered by its own
     announcements and is not draining. `get_rank` scales the importance of a route to
-    the range from 0 to 1, `count_calls` returns how many requests may have been calls
-    of the upstream, and `limit_deadline` bounds the deadline of what is sent.
+    the range from 0 to 1, `knows_service` tells whether a service exists, `count_calls`
+    returns how many requests may have been calls of the upstream, and `limit_deadline`
+    bounds the deadline of what is sent.
     """
 
     def __init__(
@@ -76,9 +77,7 @@
         self._queue = TargetQueue(now=now)
         self._root_limiter = RootRequestLimiter(capacity=1)
         self._client = HttpClient(address=settings.upstream, limit=DEFAULT_CONNECTIONS)
-        self.registration = UpstreamRegistration(
-            address=settings.upstream, service=settings.upstream_service
-        )
+        self.registration = UpstreamRegistration(address=settings.upstream)
         # Until this node knows what it acknowledged before a restart, nothing is sent.
         self.is_open = True
         self.in_progress = 0
@@ -88,6 +87,7 @@
         # The start of the upstream whose statements `_queue` holds.
         self._current_start = ""
         self.get_rank: Callable[[int], float] = lambda importance: 0.0
+        self.knows_service: Callable[[str], bool] = lambda service: True
         self.count_calls: Callable[[], int] = lambda: 0
         self.limit_deadline: Callable[[float], float] = lambda deadline: deadline
         self.on_change: Callable[[], None] | None = None
@@ -96,7 +96,9 @@
         self, announcement: UpstreamAnnouncement, *, now: float
     ) -> ApplyResult:
         """Apply an announcement of the upstream to its registration."""
-        result = self.registration.apply(announcement, now=now)
+        result = ApplyResult.FOREIGN
+        if self.knows_service(announcement.service):
+            result = self.registration.apply(announcement, now=now)
         if result is ApplyResult.CHANGED:
             log.info(
                 "upstream %s of %s: slots=%d leaving=%s sequence=%d",
--- a/src/pimentoscale/membership/member.py
+++ b/src/pimentoscale/membership/member.py
@@ -10,6 +10,7 @@
 from result import Result
 
 from pimentoscale.decoding import MAX_INTEGER, decode
+from pimentoscale.membership.upstream import parse_start
 from pimentoscale.settings import Address
 
 # The name of an instance is the key of its record; a key's length is one byte.
@@ -58,9 +59,13 @@
         return (self.incarnation, self.sequence, _RANKS[self.state])
 
     @property
-    def progress(self) -> tuple[int, int]:
-        """Return the order key over restarts of the node, by its upstream's state."""
-        return (self.sequence, _RANKS[self.state])
+    def upstream_order(self) -> tuple[int, int, int]:
+        """Return the order key over restarts of the node, by its upstream's state.
+
+        Once an upstream leaves, no announcement of the same start is newer.
+        """
+        start = parse_start(self.upstream)
+        return (start[1] if start else 0, _RANKS[self.state], self.sequence)
 
 
 _DECODER = msgspec.msgpack.Decoder(Member)
--- a/src/pimentoscale/membership/upstream.py
+++ b/src/pimentoscale/membership/upstream.py
@@ -13,6 +13,7 @@
 SEQUENCES_PER_START = 1_000_000
 # The latest start in Unix milliseconds whose serial numbers a member record can hold.
 MAX_STARTED_MS = MAX_INTEGER // SEQUENCES_PER_START - 1
+MAX_STARTED_DIGITS = len(str(MAX_STARTED_MS))
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -54,6 +55,14 @@
         return self.started_ms * SEQUENCES_PER_START + sequence
 
 
+def parse_start(start: str) -> tuple[str, int] | None:
+    """Return the identity and the Unix milliseconds of a start, None if malformed."""
+    identity, _, started_ms = start.rpartition("/")
+    if not identity or not (started_ms.isascii() and started_ms.isdecimal()):
+        return None
+    return identity, int(started_ms[:MAX_STARTED_DIGITS])
+
+
 class ApplyResult(Enum):
     """Effect of an announcement on the registration."""
 
@@ -68,7 +77,7 @@
 
     Only the node beside an upstream sends work to it, so once the upstream is
     registered as draining, no further work reaches it. `changed` is the serial of the
-    announcement that changed the registration last. An empty `service` allows any.
+    announcement that changed the registration last.
     """
 
     __slots__ = (
@@ -80,12 +89,10 @@
         "address",
         "changed",
         "current",
-        "service",
     )
 
-    def __init__(self, *, address: Address, service: str = "") -> None:
+    def __init__(self, *, address: Address) -> None:
         self.address = address
-        self.service = service
         self.current: UpstreamAnnouncement | None = None
         self.changed = 0
         self._ended_starts: dict[str, int] = {}
@@ -123,13 +130,14 @@
 
         Return whether it has ended meanwhile and was the current one.
         """
-        identity, _, started_ms = start.rpartition("/")
-        if not identity or not started_ms.isdecimal():
+        former = parse_start(start)
+        if former is None:
             return False
-        self._former_start = (identity, int(started_ms))
+        self._former_start = former
+        identity, started_ms = former
         if self._ended_at.pop(identity, None) is None:
             return False
-        self._end_start(identity, int(started_ms))
+        self._end_start(identity, started_ms)
         current = self.current
         if current is None or not self.has_ended(current.start):
             return False
@@ -138,11 +146,10 @@
 
     def has_ended(self, start: str) -> bool:
         """Return whether this start of an upstream was deregistered."""
-        identity, _, started_ms = start.rpartition("/")
-        ended_ms = self._ended_starts.get(identity)
-        if ended_ms is None or not started_ms.isdecimal():
+        parsed = parse_start(start)
+        if parsed is None or parsed[0] not in self._ended_starts:
             return False
-        return int(started_ms) <= ended_ms
+        return parsed[1] <= self._ended_starts[parsed[0]]
 
     def set_leaving(self) -> bool:
         """Give the upstream no more work, as it leaves; return whether that is new.
@@ -157,11 +164,9 @@
         return True
 
     def apply(self, announcement: UpstreamAnnouncement, *, now: float) -> ApplyResult:
-        """Apply an announcement unless it is stale or about another upstream."""
+        """Apply an announcement unless it is stale or about another address."""
         if announcement.address != self.address:
             return ApplyResult.FOREIGN
-        if self.service and announcement.service != self.service:
-            return ApplyResult.FOREIGN
         is_left = announcement.start == self._left_start
         is_outdated = announcement.serial <= self._floor or is_left
         if is_outdated and not announcement.is_draining:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import base64
+import contextlib
 import itertools
+import random
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from functools import partial
 
 import pytest
 
@@ -12,13 +15,20 @@
     count_answers,
     count_copies,
     decode_held,
+    find_newest,
     rank_holders,
 )
 from pimentoscale.forwarding.node import Sidecar
-from pimentoscale.http import IncompleteResponseError
+from pimentoscale.http import IncompleteResponseError, NotConnectedError
 from pimentoscale.membership import MemberState, decode_member
-from pimentoscale.membership.upstream import UpstreamAnnouncement
+from pimentoscale.membership.upstream import (
+    UpstreamAnnouncement,
+    UpstreamRegistration,
+    parse_start,
+)
+from pimentoscale.settings import Address
 from tests.sidecars import Deployment, Machine, run_one_zone, wait_until
+from tests.test_foreign_entries import make_member
 
 # How long requests are sent after a restart.
 WATCH_S = 1.0
@@ -340,6 +350,23 @@
     assert count_answers(0) == 0
 
 
+def test_departure_is_newer_than_all_announcements_of_the_same_start() -> None:
+    alive = make_member(state=MemberState.ALIVE, sequence=9, upstream="i/5")
+    gone = replace(alive, state=MemberState.GONE, sequence=7)
+    again = replace(alive, sequence=1, upstream="i/6")
+    assert find_newest((None, gone, alive)) == gone
+    assert find_newest((gone, again, alive)) == again
+    assert find_newest((None, None)) is None
+
+
+@pytest.mark.parametrize("start", ["", "i", "/5", "i/", "i/x", "i/-1", "i/²"])
+def test_malformed_start_names_no_upstream(start: str) -> None:
+    assert parse_start(start) is None
+    registration = UpstreamRegistration(address=Address(host="10.0.0.1", port=80))
+    assert not registration.set_former_start(start)
+    assert not registration.has_ended(start)
+
+
 def test_holders_of_a_record_are_few_and_the_same_for_all_nodes() -> None:
     names = [f"n{index}" for index in range(100)]
     holders = rank_holders("n7", names)
@@ -348,3 +375,119 @@
     assert rank_holders("n7", reversed(names)) == holders
     # Another member changes few of them.
     assert len(set(rank_holders("n7", [*names, "n100"])) - set(holders)) <= 1
+
+
+class Story:
+    """A random course of departures, starts and faults of the store, with its checks.
+
+    A target that was told that its departure is known gets no request until it starts
+    again. At most two nodes at once are being restarted.
+    """
+
+    def __init__(self, *, deployment: Deployment, rng: random.Random) -> None:
+        self._deployment = deployment
+        self._rng = rng
+        # Requests that have reached a target at the acknowledgement of its departure,
+        # and the time of that.
+        self.departed: dict[str, tuple[int, float]] = {}
+        self.lines: list[str] = []
+
+    async def run(self, *, steps: int) -> None:
+        """Take steps at random, and check after each of them."""
+        actions = [
+            self._depart,
+            self._depart,
+            self._restart,
+            self._restart,
+            self._restart_two,
+            self._announce_late,
+            self._announce_late,
+            self._start_target,
+            self._fail_store,
+            self._repair_store,
+        ]
+        for _ in range(steps):
+            action = self._rng.choice(actions)
+            machine = self._rng.choice(self._list_machines())
+            self.lines.append(f"{action.__name__} {machine.settings.instance}")
+            await action(machine)
+            await asyncio.sleep(self._rng.choice([0.0, 0.02, 0.3]))
+            self._check()
+
+    def _list_machines(self) -> list[Machine]:
+        # Requests are sent at m1.
+        machines = self._deployment.machines
+        return [machines[name] for name in machines if name != "m1"]
+
+    def _check(self) -> None:
+        for name, (count, acknowledged_at) in self.departed.items():
+            record = self._deployment.machines[name].target.record
+            late_s = record.last_arrival - acknowledged_at
+            assert record.arrivals.total() == count, (
+                f"{name} got a request {late_s:.3f} s after: {self.lines}"
+            )
+
+    async def _depart(self, machine: Machine) -> None:
+        depart = self._rng.choice([announce_draining, deregister])
+        try:
+            status = await depart(machine)
+        except (NotConnectedError, IncompleteResponseError):
+            return
+        if status == 200 and machine.settings.instance not in self.departed:
+            acknowledged_at = asyncio.get_running_loop().time()
+            # Requests that were handed over before are still answered.
+            await asyncio.sleep(0.1)
+            arrived = machine.target.record.arrivals.total()
+            self.departed[machine.settings.instance] = (arrived, acknowledged_at)
+            self.lines.append("acknowledged")
+
+    async def _restart(self, machine: Machine) -> None:
+        self._deployment.end_node(machine.settings.instance)
+        await asyncio.sleep(self._rng.choice([0.0, 0.1, 0.6]))
+        machine.sidecar = await self._deployment.start_node(machine.settings)
+
+    async def _restart_two(self, machine: Machine) -> None:
+        others = [item for item in self._list_machines() if item is not machine]
+        other = self._rng.choice(others)
+        self._deployment.end_node(other.settings.instance)
+        await self._restart(machine)
+        other.sidecar = await self._deployment.start_node(other.settings)
+
+    async def _announce_late(self, machine: Machine) -> None:
+        machine.target.state = "ready"
+        with contextlib.suppress(NotConnectedError, IncompleteResponseError):
+            await machine.target.announce()
+
+    async def _start_target(self, machine: Machine) -> None:
+        self.departed.pop(machine.settings.instance, None)
+        machine.target.born += 1000
+        await self._announce_late(machine)
+
+    async def _fail_store(self, machine: Machine) -> None:
+        self._rng.choice([set_store_down, hang_store])(self._deployment)
+
+    async def _repair_store(self, machine: Machine) -> None:
+        set_store_up(self._deployment)
+
+
+async def send_until_cancelled(deployment: Deployment) -> None:
+    while True:
+        await asyncio.gather(*(deployment.send("m1", "/rb/x") for _ in range(4)))
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_random_departures_restarts_and_faults_of_the_store(seed: int) -> None:
+    """Any order of them was possible only as far as one test each covers."""
+
+    async def scenario() -> None:
+        async with run_one_zone(machines=5) as deployment:
+            for machine in deployment.machines.values():
+                await wait_until(partial(is_registered, machine))
+                machine.target.stop_announcing()
+            story = Story(deployment=deployment, rng=random.Random(seed))
+            sending = asyncio.create_task(send_until_cancelled(deployment))
+            await story.run(steps=40)
+            assert not sending.done()
+            sending.cancel()
+
+    asyncio.run(scenario())
