--- a/src/pimentoscale/http/client_connection.py
+++ b/src/pimentoscale/http/client_connection.py
@@ -14,7 +14,12 @@
 import httptools
 
 from pimentoscale.expiry import Expiry
-from pimentoscale.http.message import Header, HttpRequest, HttpResponse
+from pimentoscale.http.message import (
+    BodyBuffer,
+    Header,
+    HttpRequest,
+    HttpResponse,
+)
 from pimentoscale.logs import get_logger
 
 # After about three seconds TCP keep-alive closes a connection whose other side is lost.
@@ -109,8 +114,7 @@
         self._answer: asyncio.Future[HttpResponse] | None = None
         self._accepts: ResponseFilter = _accept_any
         self._headers: list[Header] = []
-        # A byte array once there is more than one part.
-        self._body: bytes | bytearray = b""
+        self._body = BodyBuffer()
         self._status = 0
         self._mismatched = 0
         self._is_head = False
@@ -194,7 +198,8 @@
     def _forget_received(self) -> None:
         self._buffered.remove(self)
         self.received = 0
-        self._headers, self._body = [], b""
+        self._headers = []
+        self._body.clear()
 
     def _limit_unacknowledged(self, size: int) -> None:
         """Let TCP close the connection early only if a small request is not taken."""
@@ -270,7 +275,7 @@
             self._is_closed = True
             return
         self._headers = []
-        self._body = b""
+        self._body.clear()
         self._ends_with_connection = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -300,12 +305,7 @@
         if self._is_done:
             return
         self._body_received += len(data)
-        if not self._body:
-            self._body = data
-            return
-        if isinstance(self._body, bytes):
-            self._body = bytearray(self._body)
-        self._body += data
+        self._body.add(data)
 
     def on_message_complete(self) -> None:
         """End the exchange, or discard a response to another request."""
@@ -318,7 +318,7 @@
 
     def _complete(self) -> None:
         response = HttpResponse(
-            status=self._status, headers=self._headers, body=bytes(self._body)
+            status=self._status, headers=self._headers, body=self._body.take()
         )
         if not self._accepts(response):
             self._mismatched += 1
--- a/src/pimentoscale/http/message.py
+++ b/src/pimentoscale/http/message.py
@@ -56,6 +56,34 @@
     return b"".join([b"%b: %b\r\n" % item for item in headers])
 
 
+class BodyBuffer:
+    """Collects a body that arrives in parts, however small they are."""
+
+    __slots__ = ("_data",)
+
+    def __init__(self) -> None:
+        # Most bodies are one part, which is kept without a copy.
+        self._data: bytes | bytearray = b""
+
+    def add(self, part: bytes) -> None:
+        """Add the next part."""
+        if not self._data:
+            self._data = part
+            return
+        if isinstance(self._data, bytes):
+            self._data = bytearray(self._data)
+        self._data += part
+
+    def clear(self) -> None:
+        """Drop what has arrived."""
+        self._data = b""
+
+    def take(self) -> bytes:
+        """Return what has arrived and keep nothing of it."""
+        data, self._data = bytes(self._data), b""
+        return data
+
+
 class HttpRequest(msgspec.Struct, kw_only=True):
     """A request; header names are in lower case, and `path` includes the query.
 
--- a/src/pimentoscale/http/server.py
+++ b/src/pimentoscale/http/server.py
@@ -12,7 +12,12 @@
 
 import httptools
 
-from pimentoscale.http.message import Header, HttpRequest, HttpResponse
+from pimentoscale.http.message import (
+    BodyBuffer,
+    Header,
+    HttpRequest,
+    HttpResponse,
+)
 from pimentoscale.logs import get_logger
 
 BACKLOG = 4096
@@ -57,8 +62,7 @@
         self._url = b""
         self._headers: list[Header] = []
         self._header_bytes = 0
-        # A byte array once there is more than one part.
-        self._body: bytes | bytearray = b""
+        self._body = BodyBuffer()
         self._body_bytes = 0
         # Bytes received since the last part of a body or the end of a request, and
         # whether there was neither in the bytes that are parsed now.
@@ -99,7 +103,8 @@
         # These refer to this connection: the garbage collector would keep them, and the
         # last request with them, for long.
         self._task = self._parser = self._transport = None
-        self._headers, self._body = [], b""
+        self._headers = []
+        self._body.clear()
 
     def eof_received(self) -> bool:
         """Close: a client that closes its side of the connection has disconnected."""
@@ -129,7 +134,7 @@
         self._url = b""
         self._headers = []
         self._header_bytes = 0
-        self._body = b""
+        self._body.clear()
         self._body_bytes = 0
 
     def on_url(self, url: bytes) -> None:
@@ -157,12 +162,7 @@
         if self._body_bytes > self._server.limits.body_bytes:
             self._error_status = 413
             raise httptools.HttpParserError("the body is too large")
-        if not self._body:
-            self._body = data
-            return
-        if isinstance(self._body, bytes):
-            self._body = bytearray(self._body)
-        self._body += data
+        self._body.add(data)
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
@@ -171,10 +171,10 @@
             method=self._parser.get_method(),
             path=self._url,
             headers=self._headers,
-            body=bytes(self._body),
+            body=self._body.take(),
             connection_id=id(self),
         )
-        self._headers, self._body = [], b""
+        self._headers = []
         self._is_head_only = False
         self._queue.append((request, self._parser.should_keep_alive()))
 
@@ -208,7 +208,8 @@
     def _fail(self, status: int) -> None:
         self._error_status = status
         self._is_receiving = False
-        self._headers, self._body = [], b""
+        self._headers = []
+        self._body.clear()
         if self._task is None:
             self._send_error()
 
