--- a/src/pimentoscale/forwarding/copies.py
+++ b/src/pimentoscale/forwarding/copies.py
@@ -35,6 +35,9 @@
 MAX_HELD = 1024
 # Pause before a node that could not be reached is asked again.
 RETRY_S = 0.05
+# With enough answers, a starting node waits this long for further ones: a stream is up
+# within two round trips, unless the other node has ended.
+FURTHER_ANSWERS_S = 0.3
 
 log = get_logger("members")
 
@@ -128,7 +131,9 @@
         """
         names = self._list_holders(self._state.settings.instance)
         needed = count_answers(len(names))
-        answers = await self._ask(names, b"", needed=len(names), timeout_s=timeout_s)
+        answers = await self._ask(
+            names, b"", needed=needed, timeout_s=timeout_s, further_s=FURTHER_ANSWERS_S
+        )
         level = logging.INFO if len(answers) >= needed else logging.WARNING
         log.log(
             level,
@@ -157,18 +162,32 @@
         return b"" if newest is None else encode_member(newest)
 
     async def _ask(
-        self, names: list[str], data: bytes, *, needed: int, timeout_s: float
+        self,
+        names: list[str],
+        data: bytes,
+        *,
+        needed: int,
+        timeout_s: float,
+        further_s: float = 0.0,
     ) -> list[HeldRecord]:
-        """Ask nodes until as many as needed have answered; the others go on."""
-        expires_at = asyncio.get_running_loop().time() + timeout_s
+        """Ask nodes until as many as needed have answered, and for `further_s` then.
+
+        The other questions go on, and so do the copies sent with them.
+        """
+        loop = asyncio.get_running_loop()
+        ends_at = expires_at = loop.time() + timeout_s
         pending = {self._start(name, data, expires_at) for name in names}
         answers: list[HeldRecord] = []
-        while pending and len(answers) < needed:
+        has_enough = False
+        while pending and (left_s := ends_at - loop.time()) > 0:
             done, pending = await asyncio.wait(
-                pending, return_when=asyncio.FIRST_COMPLETED
+                pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
             )
             results = [task.result() for task in done]
             answers.extend(result for result in results if result is not None)
+            if not has_enough and len(answers) >= needed:
+                has_enough = True
+                ends_at = min(ends_at, loop.time() + further_s)
         return answers
 
     def _start(
