Have the nodes with a stream to this one hold its record

Cause: holders were chosen among members. A node whose target has left is no member any more, but keeps its streams, and in an outage a starting node hears only from those. The copies were at nodes of another zone.

Change: most of the nodes with a stream to this one must hold the record as well, asked on the streams that they opened. In an outage a starting node uses its target only once enough of them have told it what they hold.

The soak's fault kills the node of a target that has just left, half the time with the store down.

--- a/src/pimentoscale/forwarding/copies.py
+++ b/src/pimentoscale/forwarding/copies.py
@@ -4,24 +4,24 @@
 killed before it could write that. Its next start gets the record from these nodes. A
 record is kept once most of them hold it. A starting node asks all, since some may have
 started again as well, and needs enough answers to hear of each record that is kept.
+
+While the store is down a starting node knows no others, and hears only from those that
+open a stream to it. So most of the nodes with a stream to this one must hold a record
+as well; some of them may be no members, since their upstreams have left.
 """
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import xxhash
 from result import Err, Ok
 
 from pimentoscale.forwarding.links import Links
+from pimentoscale.forwarding.receiver import Receiver
 from pimentoscale.forwarding.state import SidecarState
 from pimentoscale.logs import get_logger
-from pimentoscale.membership import (
-    Member,
-    MemberState,
-    decode_member,
-    encode_member,
-)
+from pimentoscale.membership import Member, decode_member, encode_member
 from pimentoscale.stream import (
     HeldRecord,
     HoldRecord,
@@ -73,11 +73,14 @@
 class RecordCopies:
     """Holds records for other nodes, and has other nodes hold those of this one."""
 
-    __slots__ = ("_asking", "_held", "_links", "_state")
+    __slots__ = ("_asking", "_held", "_links", "_receiver", "_state")
 
-    def __init__(self, *, state: SidecarState, links: Links) -> None:
+    def __init__(
+        self, *, state: SidecarState, links: Links, receiver: Receiver
+    ) -> None:
         self._state = state
         self._links = links
+        self._receiver = receiver
         self._held: dict[str, Member] = {}
         self._asking: set[asyncio.Task[HeldRecord | None]] = set()
 
@@ -112,17 +115,30 @@
 
     async def spread(self, record: Member, *, timeout_s: float) -> bool:
         """Have other nodes hold a record; return whether enough of them do in time."""
-        names = self._list_holders(record.instance)
-        needed = count_copies(len(names))
-        data = encode_member(record)
-        answers = await self._ask(names, data, needed=needed, timeout_s=timeout_s)
+        members = self._list_holders(record.instance)
+        neighbours = rank_holders(record.instance, self._receiver.list_neighbours())
+        groups = [group for group in (members, neighbours) if group]
+
+        def is_kept(answered: set[str]) -> bool:
+            return bool(groups) and all(
+                len(answered.intersection(group)) >= count_copies(len(group))
+                for group in groups
+            )
+
+        names = list(dict.fromkeys([*members, *neighbours]))
+        answers = await self._ask(
+            names, encode_member(record), is_enough=is_kept, timeout_s=timeout_s
+        )
         log.info(
-            "own member record held by other nodes: state=%s copies=%d needed=%d",
+            "own member record held by other nodes: state=%s copies=%d members=%d "
+            "neighbours=%d kept=%s",
             record.state.value,
             len(answers),
-            needed,
+            len(members),
+            len(neighbours),
+            is_kept(set(answers)),
         )
-        return len(answers) >= needed
+        return is_kept(set(answers))
 
     async def collect(self, *, timeout_s: float) -> list[Member]:
         """Return the records of this node that other nodes hold.
@@ -132,7 +148,11 @@
         names = self._list_holders(self._state.settings.instance)
         needed = count_answers(len(names))
         answers = await self._ask(
-            names, b"", needed=needed, timeout_s=timeout_s, further_s=FURTHER_ANSWERS_S
+            names,
+            b"",
+            is_enough=lambda answered: len(answered) >= needed,
+            timeout_s=timeout_s,
+            further_s=FURTHER_ANSWERS_S,
         )
         level = logging.INFO if len(answers) >= needed else logging.WARNING
         log.log(
@@ -142,7 +162,7 @@
             needed,
             len(names),
         )
-        found = [decode_held(answer) for answer in answers]
+        found = [decode_held(answer) for answer in answers.values()]
         return [member for member in found if member is not None]
 
     def _list_holders(self, instance: str) -> list[str]:
@@ -166,27 +186,30 @@
         names: list[str],
         data: bytes,
         *,
-        needed: int,
+        is_enough: Callable[[set[str]], bool],
         timeout_s: float,
         further_s: float = 0.0,
-    ) -> list[HeldRecord]:
-        """Ask nodes until as many as needed have answered, and for `further_s` then.
+    ) -> dict[str, HeldRecord]:
+        """Ask nodes until enough have answered, and for `further_s` then.
 
         The other questions go on, and so do the copies sent with them.
         """
         loop = asyncio.get_running_loop()
         ends_at = expires_at = loop.time() + timeout_s
-        pending = {self._start(name, data, expires_at) for name in names}
-        answers: list[HeldRecord] = []
-        has_enough = False
+        names_by_task = {self._start(name, data, expires_at): name for name in names}
+        pending = set(names_by_task)
+        answers: dict[str, HeldRecord] = {}
+        had_enough = False
         while pending and (left_s := ends_at - loop.time()) > 0:
             done, pending = await asyncio.wait(
                 pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
             )
-            results = [task.result() for task in done]
-            answers.extend(result for result in results if result is not None)
-            if not has_enough and len(answers) >= needed:
-                has_enough = True
+            for task in done:
+                answer = task.result()
+                if answer is not None:
+                    answers[names_by_task[task]] = answer
+            if not had_enough and is_enough(set(answers)):
+                had_enough = True
                 ends_at = min(ends_at, loop.time() + further_s)
         return answers
 
@@ -205,12 +228,13 @@
         loop = asyncio.get_running_loop()
         own = self._state.settings.instance
         while (now := loop.time()) < expires_at:
+            frame = HoldRecord(query=0, instance=own, data=data)
             member = self._state.members.get(name)
-            if member is None or member.state is MemberState.GONE:
-                return None
+            if member is None:
+                # It has no upstream, so no record names its address.
+                return await self._receiver.ask(name, frame, expires_at=expires_at)
             try:
                 peer = await self._links.get(member, expires_at=expires_at, now=now)
-                frame = HoldRecord(query=0, instance=own, data=data)
                 left_s = max(0.0, expires_at - loop.time())
                 answer = await peer.query(frame, timeout_s=left_s)
             except (PeerUnreachableError, PeerLostError) as error:
--- a/src/pimentoscale/forwarding/links.py
+++ b/src/pimentoscale/forwarding/links.py
@@ -12,7 +12,9 @@
     DegradedRoute,
     Frame,
     Heartbeat,
+    HeldRecord,
     Hello,
+    HoldRecord,
     Peer,
     PeerUnreachableError,
     Records,
@@ -47,6 +49,7 @@
         self.on_routes: Callable[[list[str]], None] | None = None
         self.on_stream_up: Callable[[str], None] | None = None
         self.on_records_received: Callable[[Hello, TopicRecords], None] | None = None
+        self.on_hold: Callable[[HoldRecord], HeldRecord] | None = None
 
     def build_heartbeat(self) -> Heartbeat:
         """Return the heartbeat to send."""
@@ -174,6 +177,10 @@
         if self.on_records_received is not None:
             self.on_records_received(remote, frame)
 
+    def on_hold_record(self, *, frame: HoldRecord) -> HeldRecord | None:
+        """Hold a record for the other side, and answer what is held of it."""
+        return self.on_hold(frame) if self.on_hold is not None else None
+
     def send(self, name: str, frame: Frame) -> None:
         """Send a frame to a member; drop it if the stream is not up."""
         peer = self._peers.get(name)
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -81,10 +81,12 @@
         self.target = LocalTarget(settings=settings, messages=messages, now=now)
         self.target.is_open = False
         self.links = Links(state=self.state)
-        self.copies = RecordCopies(state=self.state, links=self.links)
-        self.recovery = Recovery(copies=self.copies)
         self.views = NodeViews(own_instance=settings.instance, rng=rng)
         self.receiver = Receiver(state=self.state, target=self.target, links=self.links)
+        self.copies = RecordCopies(
+            state=self.state, links=self.links, receiver=self.receiver
+        )
+        self.recovery = Recovery(copies=self.copies)
         self.forwarder = Forwarder(
             state=self.state,
             messages=messages,
@@ -167,6 +169,7 @@
         self.receiver.on_follower_lost = self.relay.remove_follower
         self.registry.on_written = self._handle_own_record_written
         self.receiver.on_hold = self.copies.answer
+        self.links.on_hold = self.copies.answer
         self.receiver.on_notice = self._handle_notice
         self.relay.on_loaded = self._handle_loaded
         self._degraded_importance: int | None = None
--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -1,6 +1,7 @@
 """Accepts the streams that other nodes open, and runs the requests on them."""
 
 import asyncio
+import itertools
 from collections.abc import Callable
 from functools import partial
 
@@ -48,6 +49,10 @@
         self.tasks: dict[int, asyncio.Task[None]] = {}
 
 
+def _get_last_received(session: _Session) -> float:
+    return session.connection.last_received_at
+
+
 class Receiver:
     """Accepts streams and runs their requests at the local target.
 
@@ -71,6 +76,8 @@
         self.on_follower_lost: Callable[[Connection], None] | None = None
         self.on_hold: Callable[[HoldRecord], HeldRecord] | None = None
         self.on_notice: Callable[[Hello, HeldRecord], None] | None = None
+        self._numbers = itertools.count(1)
+        self._questions: dict[int, asyncio.Future[HeldRecord]] = {}
 
     @property
     def in_progress(self) -> int:
@@ -90,6 +97,36 @@
         address = self._state.settings.stream
         await self._listener.start(address, backlog=BACKLOG)
 
+    def list_neighbours(self) -> list[str]:
+        """Return the nodes of the own zone that have a stream to this one."""
+        return [
+            session.remote.instance
+            for session in self._sessions
+            if session.remote.zone == self._state.settings.zone
+            and session.connection.is_open
+        ]
+
+    async def ask(
+        self, name: str, frame: HoldRecord, *, expires_at: float
+    ) -> HeldRecord | None:
+        """Ask a node on a stream that it opened; return None without an answer."""
+        open_sessions = (item for item in self._sessions if item.connection.is_open)
+        found = [item for item in open_sessions if item.remote.instance == name]
+        if not found:
+            return None
+        answer: asyncio.Future[HeldRecord] = asyncio.get_running_loop().create_future()
+        frame.query = next(self._numbers)
+        self._questions[frame.query] = answer
+        # The newest stream, if there are several.
+        max(found, key=_get_last_received).connection.send(frame)
+        try:
+            async with asyncio.timeout_at(expires_at):
+                return await answer
+        except TimeoutError:
+            return None
+        finally:
+            del self._questions[frame.query]
+
     def send_draining(self) -> None:
         """Notify all connected nodes that this one is about to stop."""
         frame = Draining(incarnation=self._state.incarnation)
@@ -174,6 +211,10 @@
             case HoldRecord():
                 if self.on_hold is not None:
                     session.connection.send(self.on_hold(frame))
+            case HeldRecord() if frame.query:
+                question = self._questions.get(frame.query)
+                if question is not None and not question.done():
+                    question.set_result(frame)
             case HeldRecord():
                 if self.on_notice is not None:
                     self.on_notice(session.remote, frame)
--- a/src/pimentoscale/forwarding/recovery.py
+++ b/src/pimentoscale/forwarding/recovery.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import logging
 
 from pimentoscale.forwarding.copies import (
     RecordCopies,
@@ -96,24 +95,26 @@
         return self._has_failed and bool(self._informants)
 
     async def _await_notices(self) -> None:
-        """Wait for all holders, or until the store can be read after all."""
+        """Wait for all holders for a while, and then for enough of them.
+
+        Return as well once the store can be read after all.
+        """
         try:
             async with asyncio.timeout(NOTICES_TIMEOUT_S):
                 while not self._is_loaded and len(self._informants) < self._holders:
                     await self._wait_for_change()
         except TimeoutError:
-            needed = count_answers(self._holders)
-            level = logging.INFO
-            if len(self._informants) < needed:
-                level = logging.WARNING
-            log.log(
-                level,
+            log.info(
                 "own member record: informants=%d needed=%d holders=%d in %.1f s",
                 len(self._informants),
-                needed,
+                count_answers(self._holders),
                 self._holders,
                 NOTICES_TIMEOUT_S,
             )
+        while not self._is_loaded:
+            if len(self._informants) >= count_answers(self._holders):
+                return
+            await self._wait_for_change()
 
     async def _wait_for_change(self) -> None:
         self._changed.clear()
--- a/src/pimentoscale/peering/peers.py
+++ b/src/pimentoscale/peering/peers.py
@@ -13,7 +13,9 @@
     Announcements,
     CallerRoutes,
     Heartbeat,
+    HeldRecord,
     Hello,
+    HoldRecord,
     Peer,
     PeerUnreachableError,
     Records,
@@ -193,6 +195,10 @@
     def on_topic_records(self, *, remote: Hello, frame: TopicRecords) -> None:
         """Ignore the frame: this interface has its own log."""
 
+    def on_hold_record(self, *, frame: HoldRecord) -> HeldRecord | None:
+        """Ignore the frame: only sidecars hold records for each other."""
+        return None
+
     def on_caller_routes(self, *, frame: CallerRoutes) -> None:
         """Ignore the frame: on this interface each call names its kind."""
 
--- a/src/pimentoscale/stream/observer.py
+++ b/src/pimentoscale/stream/observer.py
@@ -6,7 +6,9 @@
     Announcements,
     CallerRoutes,
     Heartbeat,
+    HeldRecord,
     Hello,
+    HoldRecord,
     Records,
     SlowCall,
     TopicRecords,
@@ -46,6 +48,9 @@
     def on_topic_records(self, *, remote: Hello, frame: TopicRecords) -> None:
         """Handle records of the store's topics."""
 
+    def on_hold_record(self, *, frame: HoldRecord) -> HeldRecord | None:
+        """Return the answer to a question for a member record, None without one."""
+
     def on_draining(self, *, remote: Hello) -> None:
         """Handle the notice that the other side admits no new work."""
 
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -31,6 +31,7 @@
     Heartbeat,
     HeldRecord,
     Hello,
+    HoldRecord,
     Records,
     Reply,
     RoutesRecord,
@@ -413,6 +414,10 @@
                 self._observer.on_caller_routes(frame=frame)
             case TopicRecords():
                 self._observer.on_topic_records(remote=remote, frame=frame)
+            case HoldRecord():
+                held = self._observer.on_hold_record(frame=frame)
+                if held is not None:
+                    connection.send(held)
             case Draining():
                 self._observer.on_draining(remote=remote)
             case _:
--- a/src/pimentoscale_bench/soak/faults.py
+++ b/src/pimentoscale_bench/soak/faults.py
@@ -22,6 +22,7 @@
 )
 from pimentoscale_bench.soak.target_faults import (
     drain_target,
+    forget_departure,
     leave_target,
     limit_target,
 )
@@ -44,4 +45,5 @@
     "limit": limit_target,
     "drain": drain_target,
     "leave": leave_target,
+    "forget": forget_departure,
 }
--- a/src/pimentoscale_bench/soak/restarts.py
+++ b/src/pimentoscale_bench/soak/restarts.py
@@ -38,6 +38,16 @@
     node.is_starting = False
 
 
+async def kill_and_restart(context: FaultContext, node: SoakNode) -> None:
+    """Kill a node that the caller has claimed, but not its target; start it again."""
+    deployment = context.deployment
+    with deployment.record.track_disturbance(
+        "kill", node=node.name, breaks_callers=True, breaks_runs=True
+    ):
+        deployment.signal_node(node, signal.SIGKILL)
+        await restart(context, node)
+
+
 async def stop_and_restart(context: FaultContext, node: SoakNode) -> str:
     """Stop a node with SIGTERM, perhaps with a second one, and start it again."""
     with claim(node):
--- a/src/pimentoscale_bench/soak/target_faults.py
+++ b/src/pimentoscale_bench/soak/target_faults.py
@@ -8,7 +8,11 @@
 from pimentoscale.http import IncompleteResponseError, NotConnectedError
 from pimentoscale_bench.soak.deployment import SoakNode
 from pimentoscale_bench.soak.fault_context import FaultContext, get_now
-from pimentoscale_bench.soak.restarts import claim, stop_and_restart_claimed
+from pimentoscale_bench.soak.restarts import (
+    claim,
+    kill_and_restart,
+    stop_and_restart_claimed,
+)
 from pimentoscale_bench.target import StandInTarget
 
 # A target receives no new requests later than this after its draining was acknowledged,
@@ -18,6 +22,8 @@
 MAX_NOTICE_S = 1.0
 # A target that left without draining is replaced within this time.
 MAX_LEAVE_S = 3.0
+# The node of a target that has left is killed within this time.
+MAX_KILL_DELAY_S = 0.5
 # A target that states a rate limit gets in each window at most this factor times what
 # the limit allows, plus some requests, from some seconds after it first did so (the
 # users' bounds).
@@ -113,6 +119,42 @@
     return detail
 
 
+async def forget_departure(context: FaultContext) -> str:
+    """Let a target leave, kill its node, and deliver a late announcement.
+
+    Half the time the store is down meanwhile.
+    """
+    node, rng = context.choose_node(), context.rng
+    if node.is_restarting:
+        return f"{node.name} is being restarted"
+    target, deployment = node.target, context.deployment
+    with claim(node):
+        is_down = rng.random() < 0.5
+        with deployment.record.track_disturbance("store"):
+            await deployment.set_store_faults(is_down=is_down)
+            target.stop_announcing()
+            acknowledged = await _depart(context, target)
+            await asyncio.sleep(rng.uniform(0, MAX_KILL_DELAY_S))
+            killing = asyncio.create_task(kill_and_restart(context, node))
+            await asyncio.sleep(context.choose_seconds(MAX_LEAVE_S))
+            await deployment.set_store_faults(is_down=False)
+        await killing
+        target.state = "ready"
+        await _repeat(target.announce)
+        await asyncio.sleep(DRAIN_BOUND_S + MAX_NOTICE_S)
+        _check_arrivals(context, target, acknowledged)
+        await _start_target(context, node)
+    return f"{target.identity} left at {acknowledged:.3f}, store down: {is_down}"
+
+
+async def _depart(context: FaultContext, target: StandInTarget) -> float:
+    """Announce a departure in one of two ways; return when it was acknowledged."""
+    if context.rng.random() < 0.5:
+        return await _repeat(target.deregister)
+    target.state = "draining"
+    return await _repeat(target.announce)
+
+
 def _check_arrivals(
     context: FaultContext, target: StandInTarget, acknowledged: float
 ) -> None:
