Give up bodies in many tiny chunks

Cause: the parser calls back for each chunk, so one turn of the event loop read megabytes for seconds, and every deadline of the node came late. By the log all slots were in use until then.

Change: a body is given up after 4,096 parts if they have less than 32 bytes on average, in answers and in requests.

--- a/src/pimentoscale/http/client_connection.py
+++ b/src/pimentoscale/http/client_connection.py
@@ -306,6 +306,9 @@
             return
         self._body_received += len(data)
         self._body.add(data)
+        if self._body.is_fragmented:
+            self.fail_oversized()
+            raise httptools.HttpParserError("the chunks are too small")
 
     def on_message_complete(self) -> None:
         """End the exchange, or discard a response to another request."""
--- a/src/pimentoscale/http/message.py
+++ b/src/pimentoscale/http/message.py
@@ -23,6 +23,10 @@
 )
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 BODYLESS_STATUSES = (204, 304)
+# A body of more parts than this whose parts are smaller on average is given up: each
+# part takes processor time, and a body of one-byte chunks would block the event loop.
+MAX_SMALL_PARTS = 4096
+MIN_PART_BYTES = 32
 
 
 def find_header(headers: Iterable[Header], name: bytes) -> bytes | None:
@@ -59,14 +63,22 @@
 class BodyBuffer:
     """Collects a body that arrives in parts, however small they are."""
 
-    __slots__ = ("_data",)
+    __slots__ = ("_data", "_parts")
 
     def __init__(self) -> None:
         # Most bodies are one part, which is kept without a copy.
         self._data: bytes | bytearray = b""
+        self._parts = 0
+
+    @property
+    def is_fragmented(self) -> bool:
+        """Return whether the parts are too many and too small to parse them all."""
+        is_small = len(self._data) < self._parts * MIN_PART_BYTES
+        return self._parts > MAX_SMALL_PARTS and is_small
 
     def add(self, part: bytes) -> None:
         """Add the next part."""
+        self._parts += 1
         if not self._data:
             self._data = part
             return
@@ -77,10 +89,12 @@
     def clear(self) -> None:
         """Drop what has arrived."""
         self._data = b""
+        self._parts = 0
 
     def take(self) -> bytes:
         """Return what has arrived and keep nothing of it."""
-        data, self._data = bytes(self._data), b""
+        data = bytes(self._data)
+        self.clear()
         return data
 
 
--- a/src/pimentoscale/http/server.py
+++ b/src/pimentoscale/http/server.py
@@ -163,6 +163,8 @@
             self._error_status = 413
             raise httptools.HttpParserError("the body is too large")
         self._body.add(data)
+        if self._body.is_fragmented:
+            raise httptools.HttpParserError("the chunks are too small")
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -575,6 +575,36 @@
 }
 
 
+@pytest.mark.parametrize(
+    ("size", "count", "is_taken"),
+    [(1, 4096, True), (1, 4097, False), (64, 20_000, True), (31, 4097, False)],
+)
+def test_body_in_many_tiny_chunks_is_given_up(
+    size: int, count: int, is_taken: bool
+) -> None:
+    """They blocked the event loop for seconds, and all deadlines with it."""
+
+    async def write(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_head(reader)
+        writer.write(CHUNKED_START + b"%x\r\n%b\r\n" % (size, b"z" * size) * count)
+        writer.write(b"0\r\n\r\n")
+
+    async def run() -> None:
+        server, client = await start_raw(write)
+        connection = await client.acquire(now=0.0)
+        exchange = connection.exchange(make_request())
+        async with asyncio.timeout(TIMEOUT_S):
+            if is_taken:
+                assert len((await exchange).body) == size * count
+            else:
+                with pytest.raises(OversizedResponseError):
+                    await exchange
+        connection.close()
+        server.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("ends", ["answer", "time-out", "caller"])
 @pytest.mark.parametrize("name", UNSOUND_ANSWERS)
 def test_ended_exchange_leaves_nothing_to_the_garbage_collector(
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -21,6 +21,8 @@
 TROUBLE_S = 5.0
 CALLERS = 40
 DEADLINE_MS = 700
+# The users' bound for the time until requests are served again.
+RECOVERY_S = 15.0
 HEAD = b"HTTP/1.1 200 OK\r\nattempt-id: %b\r\n"
 CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
 SOUND = HEAD + b"response-signature: s\r\ncontent-length: 2\r\n\r\nok"
@@ -211,7 +213,8 @@
             assert node.peak_mb < MEMORY_MB
             assert not failed
             target.is_in_trouble = False
-            await wait_served(node)
+            async with asyncio.timeout(RECOVERY_S):
+                await wait_served(node)
 
     asyncio.run(scenario())
     # The first one was answered soundly.
