Have a few nodes of other zones hold a record too

The store was down, its node was killed, and both other nodes of the zone, which held the copies, were stopped in a series.

Change: three nodes of other zones hold the record as well, and a starting node asks them. They are waited for 0.3 s at most, so a zone that is cut off acknowledges as before.

--- a/src/pimentoscale/forwarding/copies.py
+++ b/src/pimentoscale/forwarding/copies.py
@@ -5,6 +5,8 @@
 record is kept once most of them hold it. A starting node asks all, since some may have
 started again as well, and needs enough answers to hear of each record that is kept.
 
+A few nodes of other zones hold a record too, and are asked, if they can be reached.
+
 While the store is down a starting node knows no others, and hears only from those that
 open a stream to it. So most of the nodes with a stream to this one must hold a record
 as well; some of them may be no members, since their upstreams have left.
@@ -31,12 +33,15 @@
 
 # Nodes that hold a record: the cost of a leaving upstream does not grow with its zone.
 MAX_HOLDERS = 15
+# Nodes of other zones that get a copy as well: those of one zone may be started again
+# one after the other, or all at once.
+MAX_FAR_HOLDERS = 3
 # Records held for other nodes; the oldest are dropped beyond that.
 MAX_HELD = 1024
 # Pause before a node that could not be reached is asked again.
 RETRY_S = 0.05
-# With enough answers, a starting node waits this long for further ones: a stream is up
-# within two round trips, unless the other node has ended.
+# With enough answers, a node waits this long for further ones: a stream is up within
+# two round trips, unless the other node has ended.
 FURTHER_ANSWERS_S = 0.3
 
 log = get_logger("members")
@@ -116,6 +121,7 @@
     async def spread(self, record: Member, *, timeout_s: float) -> bool:
         """Have other nodes hold a record; return whether enough of them do in time."""
         members = self._list_holders(record.instance)
+        far = self._list_far_holders(record.instance)
         neighbours = rank_holders(record.instance, self._receiver.list_neighbours())
         groups = [group for group in (members, neighbours) if group]
 
@@ -125,9 +131,13 @@
                 for group in groups
             )
 
-        names = list(dict.fromkeys([*members, *neighbours]))
+        names = list(dict.fromkeys([*members, *neighbours, *far]))
         answers = await self._ask(
-            names, encode_member(record), is_enough=is_kept, timeout_s=timeout_s
+            names,
+            encode_member(record),
+            is_enough=is_kept,
+            timeout_s=timeout_s,
+            further_s=FURTHER_ANSWERS_S,
         )
         log.info(
             "own member record held by other nodes: state=%s copies=%d members=%d "
@@ -145,12 +155,13 @@
 
         Fewer nodes than needed may have answered in time.
         """
-        names = self._list_holders(self._state.settings.instance)
+        own = self._state.settings.instance
+        names = self._list_holders(own)
         needed = count_answers(len(names))
         answers = await self._ask(
-            names,
+            list(dict.fromkeys([*names, *self._list_far_holders(own)])),
             b"",
-            is_enough=lambda answered: len(answered) >= needed,
+            is_enough=lambda answered: len(answered.intersection(names)) >= needed,
             timeout_s=timeout_s,
             further_s=FURTHER_ANSWERS_S,
         )
@@ -176,6 +187,13 @@
         holders = rank_holders(instance, neighbours)
         return holders or rank_holders(instance, zones)
 
+    def _list_far_holders(self, instance: str) -> list[str]:
+        """Return the holders of an instance's records in other zones than this one."""
+        zone = self._state.settings.zone
+        members = self._state.members
+        far = [name for name, member in members.items() if member.zone != zone]
+        return rank_holders(instance, far)[:MAX_FAR_HOLDERS]
+
     def _encode_newest(self, instance: str) -> bytes:
         found = (self._held.get(instance), self._state.members.get(instance))
         newest = find_newest(found)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -314,6 +314,32 @@
     asyncio.run(scenario())
 
 
+def test_departure_outlives_a_restart_of_the_whole_zone() -> None:
+    """Soak seed 35411: both holders were stopped in a series, and so forgot it."""
+
+    async def scenario() -> None:
+        async with run_one_zone(machines=3) as deployment:
+            leaving = deployment.machines["m0"]
+            for name in ("far", "farther"):
+                await deployment.start_machine(name, "b", zone="z2")
+            await deployment.wait_ready()
+            set_store_down(deployment)
+            assert await deregister(leaving) == 200
+            for name in ("m0", "m1", "m2"):
+                deployment.end_node(name)
+            await asyncio.sleep(0.2)
+            set_store_up(deployment)
+            for name in ("m2", "m1", "m0"):
+                machine = deployment.machines[name]
+                machine.sidecar = await deployment.start_node(machine.settings)
+            await announce_late(leaving)
+            await wait_until(lambda: leaving.sidecar.target.is_open)
+            assert not leaving.sidecar.target.registration.accepts_work
+            assert await count_requests(deployment, leaving) == 0
+
+    asyncio.run(scenario())
+
+
 def test_new_start_of_a_target_is_used_after_a_departure_in_an_outage() -> None:
     """A departure binds one start of a target, not those that follow."""
 
