Take only records of the own name from other nodes

Found by reading: a node that has got the address of another one is told what others hold of the former one, and took it for its own: it could hide its own departure, or publish an end that was not its own.

Change: a held record counts only if it names the asking node. The log line of the question for a former record counts holders and far nodes apart.

--- a/src/pimentoscale/forwarding/copies.py
+++ b/src/pimentoscale/forwarding/copies.py
@@ -165,15 +165,16 @@
             timeout_s=timeout_s,
             further_s=FURTHER_ANSWERS_S,
         )
-        level = logging.INFO if len(answers) >= needed else logging.WARNING
+        answered = len(set(answers).intersection(names))
         log.log(
-            level,
-            "own member record asked for: answers=%d needed=%d holders=%d",
-            len(answers),
+            logging.INFO if answered >= needed else logging.WARNING,
+            "own member record asked for: answers=%d needed=%d holders=%d far=%d",
+            answered,
             needed,
             len(names),
+            len(answers) - answered,
         )
-        found = [decode_held(answer) for answer in answers.values()]
+        found = [decode_held(answer, instance=own) for answer in answers.values()]
         return [member for member in found if member is not None]
 
     def _list_holders(self, instance: str) -> list[str]:
@@ -263,13 +264,18 @@
         return None
 
 
-def decode_held(frame: HeldRecord) -> Member | None:
-    """Return the record in a frame, None if there is none that can be read."""
+def decode_held(frame: HeldRecord, *, instance: str) -> Member | None:
+    """Return the record of an instance in a frame, None if there is none.
+
+    The sender may have meant the node that had this address before.
+    """
     if not frame.data:
         return None
     match decode_member(frame.data):
-        case Ok(member):
+        case Ok(member) if member.instance == instance:
             return member
+        case Ok(member):
+            log.warning("held record of %r skipped: wrong name", member.instance)
         case Err(reason):
             log.warning("held member record skipped: %s", reason)
-            return None
+    return None
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -86,7 +86,7 @@
         self.copies = RecordCopies(
             state=self.state, links=self.links, receiver=self.receiver
         )
-        self.recovery = Recovery(copies=self.copies)
+        self.recovery = Recovery(instance=settings.instance, copies=self.copies)
         self.forwarder = Forwarder(
             state=self.state,
             messages=messages,
@@ -279,7 +279,7 @@
     def _handle_notice(self, remote: Hello, frame: HeldRecord) -> None:
         """Handle what another node holds of this one, also after the recovery."""
         self.recovery.handle_notice(remote, frame)
-        record = decode_held(frame)
+        record = decode_held(frame, instance=self.state.settings.instance)
         if record is not None and self.target.is_open:
             now = asyncio.get_running_loop().time()
             self.registry.apply_former(record, now=now)
--- a/src/pimentoscale/forwarding/recovery.py
+++ b/src/pimentoscale/forwarding/recovery.py
@@ -39,11 +39,13 @@
         "_has_failed",
         "_holders",
         "_informants",
+        "_instance",
         "_is_loaded",
         "newest",
     )
 
-    def __init__(self, *, copies: RecordCopies) -> None:
+    def __init__(self, *, instance: str, copies: RecordCopies) -> None:
+        self._instance = instance
         self._copies = copies
         self._changed = asyncio.Event()
         self._is_loaded = False
@@ -68,8 +70,9 @@
 
     def handle_notice(self, remote: Hello, frame: HeldRecord) -> None:
         """Handle what another node holds of this one."""
-        self.add_record(decode_held(frame))
-        if frame.holders > 0:
+        record = decode_held(frame, instance=self._instance)
+        self.add_record(record)
+        if record is not None and frame.holders > 0:
             self._informants.add(remote.instance)
             self._holders = max(self._holders, frame.holders)
         self._changed.set()
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -21,13 +21,14 @@
 )
 from pimentoscale.forwarding.node import Sidecar
 from pimentoscale.http import IncompleteResponseError, NotConnectedError
-from pimentoscale.membership import MemberState, decode_member
+from pimentoscale.membership import MemberState, decode_member, encode_member
 from pimentoscale.membership.upstream import (
     UpstreamAnnouncement,
     UpstreamRegistration,
     parse_start,
 )
 from pimentoscale.settings import Address
+from pimentoscale.stream import HeldRecord
 from tests.sidecars import Deployment, Machine, run_one_zone, wait_until
 from tests.test_foreign_entries import make_member
 
@@ -70,7 +71,7 @@
 
 def find_held_start(holder: Sidecar) -> str:
     """Return the start of m0's target in the record that another node holds."""
-    member = decode_held(holder.copies.make_notice("m0"))
+    member = decode_held(holder.copies.make_notice("m0"), instance="m0")
     return member.upstream if member else ""
 
 
@@ -407,6 +408,15 @@
     assert find_newest((None, None)) is None
 
 
+def test_record_held_of_a_former_node_of_the_address_is_not_taken() -> None:
+    """A node told one that had got its address what it held of the former one."""
+    record = make_member(instance="former", state=MemberState.GONE, upstream="i/5")
+    frame = HeldRecord(query=0, data=encode_member(record), holders=1)
+    assert decode_held(frame, instance="former") == record
+    assert decode_held(frame, instance="own") is None
+    assert decode_held(HeldRecord(query=0, data=b"x"), instance="own") is None
+
+
 @pytest.mark.parametrize("start", ["", "i", "/5", "i/", "i/x", "i/-1", "i/²"])
 def test_malformed_start_names_no_upstream(start: str) -> None:
     assert parse_start(start) is None
