Read organisations, check keys and hold quotas over all nodes

Cause: a route of kind upload made the whole configuration invalid, so no node became ready on such a deployment; keys and quotas were ignored.

Change: organisations in the configuration; a policy for keys with the age of the store's confirmation for strict revocation; quotas by a home in each zone; safe requests of one connection run side by side. Streams are of protocol 8.

--- a/src/pimentoscale/errors.py
+++ b/src/pimentoscale/errors.py
@@ -37,6 +37,11 @@
     ANSWER_DAMAGED = "answer_damaged"
     ANSWER_OVERSIZED = "answer_oversized"
     ALREADY_RAN = "already_ran"
+    KEY_MISSING = "key_missing"
+    KEY_UNKNOWN = "key_unknown"
+    KEY_UNCONFIRMED = "key_unconfirmed"
+    OVER_QUOTA = "over_quota"
+    ROUTE_UNREADABLE = "route_unreadable"
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -81,6 +86,11 @@
     (ErrorKind.ANSWER_DAMAGED, 502, _FAILED, "the answer did not arrive whole"),
     (ErrorKind.ANSWER_OVERSIZED, 502, _FAILED, "the upstream's answer did not end"),
     (ErrorKind.ALREADY_RAN, 409, _UNKNOWN, "an earlier submission may have run"),
+    (ErrorKind.KEY_MISSING, 401, _REFUSED, "the route requires a key"),
+    (ErrorKind.KEY_UNKNOWN, 401, _REFUSED, "the key is not in the configuration"),
+    (ErrorKind.KEY_UNCONFIRMED, 503, _REFUSED, "the key can't be checked at present"),
+    (ErrorKind.OVER_QUOTA, 429, _REFUSED, "the organisation is at its limit"),
+    (ErrorKind.ROUTE_UNREADABLE, 503, _REFUSED, "the route can't be read"),
 )
 
 ANSWERS: dict[ErrorKind, ErrorAnswer] = {
--- a/src/pimentoscale/forwarding/exchange.py
+++ b/src/pimentoscale/forwarding/exchange.py
@@ -15,11 +15,27 @@
     """What the headers of a request state about it.
 
     `remaining_s` is how long the sender waits for the response, None if not stated.
+    `key` is that of the sender's organisation, None if there is none.
     """
 
     identity: str
     host: str
     remaining_s: float | None
+    key: bytes | None = None
+
+
+class Sender(msgspec.Struct, kw_only=True, frozen=True):
+    """What a target is told of the sender of a request.
+
+    `organisation` is empty if the sender is of none. With `hides_key` the target gets
+    neither the key nor an organisation that the sender has named itself.
+    """
+
+    organisation: str = ""
+    hides_key: bool = False
+
+
+ANYBODY = Sender()
 
 
 class ToldLoad(msgspec.Struct, kw_only=True, frozen=True):
@@ -62,7 +78,9 @@
     def read_metadata(self, request: HttpRequest) -> RequestMetadata | None:
         """Return the metadata of a request, or None if a header is malformed."""
 
-    def encode_request_headers(self, headers: list[Header], *, service: str) -> bytes:
+    def encode_request_headers(
+        self, headers: list[Header], *, service: str, sender: Sender = ANYBODY
+    ) -> bytes:
         """Return the header lines to forward; `service` is the sending node's own."""
 
     def encode_target_headers(self, *, remaining_ms: int, instance: str) -> bytes:
@@ -103,9 +121,10 @@
     that a target makes for a request already admitted; `was_refused` a caller that was
     refused before and retries. `suspended_s` is how long the machine had been suspended
     when this node received the request: that clock stands still meanwhile, while the
-    sender's goes on. `stated` is what the sending node has heard of the target, None
-    if it has heard of no limit. `is_handed_over` tells that this node has sent the
-    request to a target or to the node beside one in the attempt in progress.
+    sender's goes on. `organisation` is that of the caller, empty if there is none.
+    `stated` is what the sending node has heard of the target, None if it has heard of
+    no limit. `is_handed_over` tells that this node has sent the request to a target or
+    to the node beside one in the attempt in progress.
     """
 
     identity: str
@@ -119,6 +138,7 @@
     objective_s: float
     message: HttpRequest
     suspended_s: float
+    organisation: str = ""
     stated: StatedCondition | None = None
     is_handed_over: bool = False
 
--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -11,6 +11,7 @@
     ForwardRequest,
     Messages,
     RequestMetadata,
+    Sender,
 )
 from pimentoscale.forwarding.links import Links
 from pimentoscale.forwarding.origins import OriginTracker
@@ -20,8 +21,10 @@
 from pimentoscale.forwarding.target import LocalTarget
 from pimentoscale.forwarding.views import NodeViews
 from pimentoscale.http import HttpRequest, HttpResponse, drop_connection_headers
-from pimentoscale.routes import Route, WeightedRoundRobin
-from pimentoscale.suspension import read_suspended_s
+from pimentoscale.limits import QuotaGate
+from pimentoscale.organisations import ANONYMOUS, Access, Organisation
+from pimentoscale.routes import Route, RouteTable, WeightedRoundRobin
+from pimentoscale.suspension import read_boot_time, read_suspended_s
 
 # Calls of the local target that come when callers are refused already must be expected
 # to end in this multiple of the average time of their route.
@@ -44,10 +47,12 @@
         target: LocalTarget,
         links: Links,
         views: NodeViews,
+        gate: QuotaGate,
         rng: random.Random,
         now: float,
     ) -> None:
         self._state = state
+        self._gate = gate
         self._messages = messages
         self._target = target
         self._views = views
@@ -76,6 +81,16 @@
         finally:
             self.in_progress -= 1
 
+    def may_run_ahead(self, request: HttpRequest) -> bool:
+        """Return whether a request may run before earlier ones have been answered."""
+        table = self._state.table
+        metadata = self._messages.read_metadata(request)
+        if table is None or metadata is None:
+            return False
+        path = request.path.partition(b"?")[0].decode("latin-1")
+        route = table.find(host=metadata.host, path=path)
+        return route is not None and route.idempotent
+
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         now = asyncio.get_running_loop().time()
         table = self._state.table
@@ -98,17 +113,34 @@
             target_idle_s=self._target.get_idle_s(now=now),
             now=now,
         )
-        forward = self._make_forward(request, metadata, route, now)
+        if not route.is_readable:
+            error = CallError(kind=ErrorKind.ROUTE_UNREADABLE)
+            return self._responses.build_error(error, metadata.identity, route.name)
+        access = self._check_access(request, metadata, route, table)
+        if access.error is not None:
+            return self._responses.build_error(
+                access.error, metadata.identity, route.name
+            )
+        forward = self._make_forward(request, metadata, route, access.organisation, now)
         expires_at = now + _get_remaining_s(metadata)
         if not self._may_take(forward, expires_at=expires_at, now=now):
             error = CallError(kind=ErrorKind.DRAINING, detail="the node stops")
             return self._responses.build_error(error, forward.identity, forward.route)
+        organisation = access.organisation
+        if organisation is not None:
+            over_quota = self._gate.admit(organisation, now=now)
+            if over_quota is not None:
+                return self._responses.build_error(
+                    over_quota, forward.identity, forward.route
+                )
         history = AttemptHistory()
         try:
             async with self._state.time_limits.limit():
                 await self._attempts.run(forward, route, history)
         except TimeoutError:
             history.add(Attempt.make_interrupted(forward, detail="the node stops"))
+        if organisation is not None and not history.may_have_run:
+            self._gate.take_back(organisation)
         has_targets = bool(self._views.list(forward.service))
         return self._responses.build(
             forward,
@@ -118,6 +150,26 @@
             now=asyncio.get_running_loop().time(),
         )
 
+    def _check_access(
+        self,
+        request: HttpRequest,
+        metadata: RequestMetadata,
+        route: Route,
+        table: RouteTable,
+    ) -> Access:
+        """Return the organisation of a request, or why it may not run."""
+        if table.organisations is None:
+            return ANONYMOUS
+        return self._state.access.check(
+            table.organisations,
+            metadata.key,
+            is_public=route.is_public,
+            is_call=self.origins.may_be_call(
+                connection=request.connection_id, route=route.name
+            ),
+            now=read_boot_time(),
+        )
+
     def _may_take(
         self, forward: ForwardRequest, *, expires_at: float, now: float
     ) -> bool:
@@ -140,7 +192,12 @@
         return shutdown.may_take(expected_s=expected_s, now=now)
 
     def _make_forward(
-        self, request: HttpRequest, metadata: RequestMetadata, route: Route, now: float
+        self,
+        request: HttpRequest,
+        metadata: RequestMetadata,
+        route: Route,
+        organisation: Organisation | None,
+        now: float,
     ) -> ForwardRequest:
         remaining_s = _get_remaining_s(metadata)
         headers = drop_connection_headers(request.headers)
@@ -149,11 +206,17 @@
         own_service = self._state.settings.upstream_service
         if not own_service and upstream is not None:
             own_service = upstream.service
+        name = organisation.name if organisation is not None else ""
+        table = self._state.table
+        sender = Sender(
+            organisation=name,
+            hides_key=table is not None and table.organisations is not None,
+        )
         message = HttpRequest(
             method=request.method,
             path=request.path,
             encoded_headers=self._messages.encode_request_headers(
-                headers, service=own_service
+                headers, service=own_service, sender=sender
             ),
             body=request.body,
         )
@@ -170,6 +233,7 @@
             ),
             objective_s=min(route.objective_s, route.timeout_s),
             suspended_s=read_suspended_s(),
+            organisation=name,
             message=message,
         )
 
--- a/src/pimentoscale/forwarding/links.py
+++ b/src/pimentoscale/forwarding/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from pimentoscale.forwarding.state import SidecarState
 from pimentoscale.logs import get_logger
@@ -55,6 +56,8 @@
         self.on_stream_up: Callable[[str], None] | None = None
         self.on_records_received: Callable[[Hello, TopicRecords], None] | None = None
         self.on_hold: Callable[[HoldRecord], HeldRecord] | None = None
+        # Handlers of further frames by their type.
+        self.notice_handlers: dict[type[Frame], Callable[[Hello, Any], None]] = {}
 
     def build_heartbeat(self) -> Heartbeat:
         """Return the heartbeat to send."""
@@ -186,6 +189,12 @@
         """Hold a record for the other side, and answer what is held of it."""
         return self.on_hold(frame) if self.on_hold is not None else None
 
+    def on_notice(self, *, remote: Hello, frame: Frame) -> None:
+        """Pass on a frame for which there is a handler."""
+        handle = self.notice_handlers.get(type(frame))
+        if handle is not None:
+            handle(remote, frame)
+
     def send(self, name: str, frame: Frame) -> None:
         """Send a frame to a member; drop it if the stream is not up."""
         peer = self._peers.get(name)
@@ -222,12 +231,12 @@
                 roots[member.zone] = member
         ends_at = now + NOTICE_TIMEOUT_S
         sending = [
-            self._send_once_up(member, frame, ends_at=ends_at)
+            self.send_once_up(member, frame, ends_at=ends_at)
             for member in roots.values()
         ]
         await asyncio.gather(*sending)
 
-    async def _send_once_up(
+    async def send_once_up(
         self, member: Member, frame: Frame, *, ends_at: float
     ) -> None:
         """Send a frame on a stream that may have to be opened for it."""
@@ -250,6 +259,11 @@
     def on_slow_call(self, *, remote: Hello, frame: SlowCall) -> None:
         """Ignore the frame: run times come with the responses."""
 
+    def touch(self, name: str, *, now: float) -> None:
+        """Note that the stream to a member is in use."""
+        if name in self._used_at:
+            self._used_at[name] = now
+
     def find_peer(self, name: str) -> Peer | None:
         """Return the stream to a member if it is up."""
         peer = self._peers.get(name)
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -8,10 +8,12 @@
 
 from result import Result
 
+from pimentoscale.forwarding.confirmations import STRICT_WAIT_MS, Confirmations
 from pimentoscale.forwarding.copies import RecordCopies, decode_held
 from pimentoscale.forwarding.exchange import Messages
 from pimentoscale.forwarding.forwarder import Forwarder
 from pimentoscale.forwarding.links import Links
+from pimentoscale.forwarding.quotas import QuotaExchange
 from pimentoscale.forwarding.receiver import Receiver
 from pimentoscale.forwarding.recovery import Recovery
 from pimentoscale.forwarding.registry import MemberRegistry
@@ -28,7 +30,17 @@
 from pimentoscale.metrics import Gauge
 from pimentoscale.routes import RouteTable
 from pimentoscale.store import RecordStore, TopicReplica, TopicWatcher
-from pimentoscale.stream import HeldRecord, Hello, TopicRecords
+from pimentoscale.stream import (
+    AdmittedShares,
+    AskConfirmation,
+    Connection,
+    HeldRecord,
+    Hello,
+    ReportUsage,
+    StateConfirmation,
+    TopicRecords,
+    ZoneDemand,
+)
 from pimentoscale.stream.silence import HEARTBEAT_TIMEOUT_S
 from pimentoscale.suspension import SuspensionDetector, read_boot_time
 
@@ -91,12 +103,20 @@
             state=self.state, store=store, copies=self.copies, rng=rng
         )
         self.recovery = Recovery(instance=settings.instance, copies=self.copies)
+        self.quotas = QuotaExchange(
+            state=self.state,
+            links=self.links,
+            spawn=self._spawn,
+            phase=rng.random(),
+            now=now,
+        )
         self.forwarder = Forwarder(
             state=self.state,
             messages=messages,
             target=self.target,
             links=self.links,
             views=self.views,
+            gate=self.quotas.gate,
             rng=rng,
             now=now,
         )
@@ -117,7 +137,11 @@
             views=self.views,
             rng=rng,
         )
-        self._outgoing = HttpServer(handler=self.forwarder.handle, limits=HttpLimits())
+        self._outgoing = HttpServer(
+            handler=self.forwarder.handle,
+            limits=HttpLimits(),
+            may_run_ahead=self.forwarder.may_run_ahead,
+        )
         self._readiness = HttpServer(
             handler=self._answer_readiness, limits=HttpLimits()
         )
@@ -135,6 +159,9 @@
             first_topic=topics.members,
             now=now,
         )
+        self.confirmations = Confirmations(
+            state=self.state, links=self.links, relay=self.relay
+        )
         self._watchers = [
             TopicWatcher(
                 store=store,
@@ -143,14 +170,25 @@
                 on_records=self.relay.receive,
                 on_result=self._record_store_call,
                 on_doubt=self._handle_store_doubt,
+                on_confirmed=on_confirmed,
                 get_phase=self.relay.get_phase,
                 wait_ms=wait_ms,
                 pause_s=pause_s,
                 rng=rng,
             )
-            for topic, wait_ms, pause_s in (
-                (topics.routes, ROUTES_WAIT_MS, 0.0),
-                (topics.members, MEMBERS_WAIT_MS, MEMBERS_PAUSE_S),
+            for topic, wait_ms, pause_s, on_confirmed in (
+                (
+                    topics.routes,
+                    ROUTES_WAIT_MS,
+                    0.0,
+                    self.confirmations.record_read,
+                ),
+                (
+                    topics.members,
+                    MEMBERS_WAIT_MS,
+                    MEMBERS_PAUSE_S,
+                    lambda at: None,
+                ),
             )
         ]
         self._suspension = SuspensionDetector(now=now, boot_time=read_boot_time())
@@ -184,6 +222,15 @@
         self.relay.on_new_era = self._handle_new_era
         store.watch_era(self._handle_store_doubt)
         self._degraded_importance: int | None = None
+        self.receiver.notice_handlers = {
+            AskConfirmation: self._answer_confirmation,
+            ReportUsage: self.quotas.handle_report,
+            ZoneDemand: self.quotas.handle_demand,
+        }
+        self.links.notice_handlers = {
+            StateConfirmation: self.confirmations.record_answer,
+            AdmittedShares: self.quotas.handle_shares,
+        }
 
     async def start(self) -> None:
         """Start the servers and the background tasks."""
@@ -201,6 +248,7 @@
             self._spawn(watcher.run())
         self._spawn(self._recover())
         self._spawn(self.registry.publish())
+        self._spawn(self.quotas.run())
         self._spawn(self._tick())
         log.info(
             "started: instance=%s zone=%s incarnation=%d service=%s",
@@ -239,7 +287,9 @@
         change = merge_settings(self.state.settings, settings)
         self.state.settings = change.settings
         self._store.use_address(change.settings.store)
+        self.state.access.revocation_s = change.settings.revocation_s
         self.forwarder.apply_settings()
+        self.quotas.apply_settings()
         log.info(
             "settings reloaded: changed=%s",
             {name: getattr(settings, name) for name in change.changed},
@@ -323,6 +373,11 @@
         for watcher in self._watchers:
             watcher.check(now=asyncio.get_running_loop().time())
 
+    def _answer_confirmation(
+        self, connection: Connection, remote: Hello, frame: AskConfirmation
+    ) -> None:
+        self.confirmations.answer(connection, remote, frame, read_boot_time())
+
     def _handle_stream_up(self, name: str) -> None:
         # Sent before any request, so that the other side knows it when that arrives.
         self.links.send(name, self.copies.make_notice(name))
@@ -462,6 +517,10 @@
         self.forwarder.apply_settings()
         self.relay.update(now=now)
         self.relay.send_status(now=now)
+        self._watchers[0].wait_ms = ROUTES_WAIT_MS
+        if self.confirmations.is_needed:
+            self._watchers[0].wait_ms = STRICT_WAIT_MS
+        self.confirmations.ask(now=read_boot_time())
 
     def _spawn(self, run: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(run)
--- a/src/pimentoscale/forwarding/origins.py
+++ b/src/pimentoscale/forwarding/origins.py
@@ -95,6 +95,12 @@
             return False
         return self._unattributed.get(route, 0) >= INNER_MIN_REQUESTS
 
+    def may_be_call(self, *, connection: int, route: str) -> bool:
+        """Return whether the local target may have sent a request."""
+        if route in self._caller_routes:
+            return False
+        return connection not in self._caller_connections
+
     def count_inner(self) -> int:
         """Return how many requests may have been calls of the local target."""
         return self._inner_count
--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import Callable
 from functools import partial
+from typing import Any
 
 from pimentoscale.errors import ErrorKind
 from pimentoscale.forwarding.exchange import Attempt, ForwardRequest
@@ -13,6 +14,7 @@
 from pimentoscale.forwarding.target import LocalTarget
 from pimentoscale.logs import get_logger
 from pimentoscale.stream import (
+    AskConfirmation,
     CallerRoutes,
     Cancel,
     CheckStore,
@@ -29,7 +31,9 @@
     Hello,
     HoldRecord,
     Listener,
+    ReportUsage,
     RoutesRecord,
+    ZoneDemand,
     finish_connections,
 )
 from pimentoscale.stream.silence import is_timed_out
@@ -78,6 +82,10 @@
         self.on_hold: Callable[[HoldRecord], HeldRecord] | None = None
         self.on_notice: Callable[[Hello, HeldRecord], None] | None = None
         self.on_check_store: Callable[[Hello], None] | None = None
+        # Handlers of further frames by their type.
+        self.notice_handlers: dict[
+            type[Frame], Callable[[Connection, Hello, Any], None]
+        ] = {}
         self._numbers = itertools.count(1)
         self._questions: dict[int, asyncio.Future[HeldRecord]] = {}
 
@@ -227,6 +235,10 @@
                 session.connection.send(
                     RoutesRecord(query=frame.query, data=self._state.record)
                 )
+            case AskConfirmation() | ReportUsage() | ZoneDemand():
+                handle = self.notice_handlers.get(type(frame))
+                if handle is not None:
+                    handle(session.connection, session.remote, frame)
             case _:
                 raise FrameError(
                     f"unexpected {type(frame).__name__} on an accepted connection"
--- a/src/pimentoscale/forwarding/relay.py
+++ b/src/pimentoscale/forwarding/relay.py
@@ -181,6 +181,10 @@
             records = replica.list_since(Position(era=era, offset=offset))
             connection.send(self._make_frame(replica, records, now=now))
 
+    def has_follower(self, connection: Connection) -> bool:
+        """Return whether a node gets all records on a connection."""
+        return connection in self._followers
+
     def remove_follower(self, connection: Connection) -> None:
         """Remove a follower whose stream has ended."""
         self._followers.discard(connection)
--- a/src/pimentoscale/forwarding/responses.py
+++ b/src/pimentoscale/forwarding/responses.py
@@ -13,6 +13,7 @@
 RETRY_AFTER_S = 0.3
 RETRY_JITTER = 1.0
 REFUSED_STATUS = 503
+RETRY_STATUSES = (REFUSED_STATUS, 429)
 MIN_SERVER_ERROR = 500
 
 log = get_logger("entry")
@@ -71,6 +72,7 @@
         headers = [(b"content-type", b"text/plain; charset=utf-8")]
         if ran_nowhere and status >= MIN_SERVER_ERROR:
             status = REFUSED_STATUS
+        if status in RETRY_STATUSES and ran_nowhere:
             base_s = max(RETRY_AFTER_S, error.retry_after_ms / 1000)
             wait_s = base_s * self._rng.uniform(1, 1 + RETRY_JITTER)
             headers.append((b"retry-after", f"{wait_s:.2f}".encode()))
--- a/src/pimentoscale/forwarding/routes.py
+++ b/src/pimentoscale/forwarding/routes.py
@@ -84,6 +84,7 @@
             len(table.routes),
         )
         _log_changes(old_routes, table)
+        _log_faults(table)
         if self.on_change is not None:
             self.on_change(table)
         return True
@@ -144,3 +145,11 @@
         log.info(
             "version %d: %d routes are new or changed", table.version, len(changed)
         )
+
+
+def _log_faults(table: RouteTable) -> None:
+    """Log which parts of a version can't be used, and their count if too many."""
+    for fault in table.faults[:MAX_CHANGE_LINES]:
+        log.warning("version %d: %s", table.version, fault)
+    if len(table.faults) > MAX_CHANGE_LINES:
+        log.warning("version %d: %d faults", table.version, len(table.faults))
--- a/src/pimentoscale/forwarding/settings.py
+++ b/src/pimentoscale/forwarding/settings.py
@@ -13,6 +13,10 @@
     `readiness` for the platform's readiness checks, `announcements` for the local
     upstream's announcements, and `stream` for the other nodes. `store_writes_per_s`
     limits the writes, and the `retry_` fields the retries, of all nodes together.
+    `revocation_s` is the time after which no node may accept a withdrawn key, None if a
+    node that is cut off may go on. All nodes together may exceed what an organisation
+    is allowed within `quota_window_s` by the share `quota_overage`, and by
+    `quota_slack` requests.
     """
 
     instance: str
@@ -30,11 +34,25 @@
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
+    revocation_s: float | None = None
+    quota_window_s: float = 0.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
 
 
 # Fields that can change while a node runs; the others take effect after a restart.
 RELOADABLE_FIELDS = frozenset(
-    ("store", "stop_grace_s", "retry_ratio", "retry_window_s", "retry_slack")
+    (
+        "store",
+        "stop_grace_s",
+        "retry_ratio",
+        "retry_window_s",
+        "retry_slack",
+        "revocation_s",
+        "quota_window_s",
+        "quota_overage",
+        "quota_slack",
+    )
 )
 
 
--- a/src/pimentoscale/forwarding/state.py
+++ b/src/pimentoscale/forwarding/state.py
@@ -5,6 +5,7 @@
 from pimentoscale.forwarding.settings import SidecarSettings
 from pimentoscale.membership import Member
 from pimentoscale.metrics import Metrics
+from pimentoscale.organisations import AccessPolicy
 from pimentoscale.routes import RouteTable
 from pimentoscale.shutdown import Shutdown, TimeLimits
 from pimentoscale.stream import Hello
@@ -35,6 +36,10 @@
     refuses_callers: bool = False
     shutdown: Shutdown = field(default_factory=Shutdown)
     time_limits: TimeLimits = field(default_factory=TimeLimits)
+    access: AccessPolicy = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.access = AccessPolicy(revocation_s=self.settings.revocation_s)
 
     @property
     def version(self) -> int:
--- /dev/null
+++ b/src/pimentoscale/organisations/__init__.py
@@ -0,0 +1,27 @@
+"""Organisations: the keys of their callers, and what may be done with a key."""
+
+from pimentoscale.organisations.access import (
+    ANONYMOUS,
+    Access,
+    AccessPolicy,
+)
+from pimentoscale.organisations.confirmation import (
+    Confirmation,
+    get_usable_age_s,
+)
+from pimentoscale.organisations.registry import (
+    Organisation,
+    OrganisationRegistry,
+    RegistryBuilder,
+)
+
+__all__ = [
+    "ANONYMOUS",
+    "Access",
+    "AccessPolicy",
+    "Confirmation",
+    "Organisation",
+    "OrganisationRegistry",
+    "RegistryBuilder",
+    "get_usable_age_s",
+]
--- a/src/pimentoscale/peering/peers.py
+++ b/src/pimentoscale/peering/peers.py
@@ -12,6 +12,7 @@
 from pimentoscale.stream import (
     Announcements,
     CallerRoutes,
+    Frame,
     Heartbeat,
     HeldRecord,
     Hello,
@@ -210,6 +211,9 @@
         if frame.draining:
             self.on_draining(remote=remote)
 
+    def on_notice(self, *, remote: Hello, frame: Frame) -> None:
+        """Ignore the frame: only nodes on the users' platform send such frames."""
+
     def on_draining(self, *, remote: Hello) -> None:
         """Notify the watchers that a node is draining, if it was alive so far."""
         member = self._state.directory.find(instance=remote.instance)
--- a/src/pimentoscale/platform/announcement.py
+++ b/src/pimentoscale/platform/announcement.py
@@ -10,15 +10,13 @@
 from pimentoscale.decoding import MAX_INTEGER, decode
 from pimentoscale.membership.member import Slots
 from pimentoscale.membership.upstream import MAX_STARTED_MS, UpstreamAnnouncement
+from pimentoscale.platform.names import NAME_PATTERN
 from pimentoscale.settings import Address
 
 PATH_PREFIX = b"/v1/instances/"
 MAX_ANNOUNCEMENT_BYTES = 64 * 1024
 MAX_COLD_S = 86_400
 
-# Names are sent on in headers: no white space, line ends or other control characters.
-NAME_PATTERN = r"\A[!-~]+\Z"
-
 Text = Annotated[str, Meta(min_length=1, max_length=256)]
 Name = Annotated[str, Meta(min_length=1, max_length=256, pattern=NAME_PATTERN)]
 
--- a/src/pimentoscale/platform/configuration.py
+++ b/src/pimentoscale/platform/configuration.py
@@ -1,13 +1,19 @@
 """Decoding of the operator's configuration record into a route table."""
 
 from string import hexdigits
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta
 from result import Err, Ok, Result
 
 from pimentoscale.decoding import MAX_INTEGER, decode
+from pimentoscale.organisations import (
+    Organisation,
+    OrganisationRegistry,
+    RegistryBuilder,
+)
+from pimentoscale.platform.names import NAME_PATTERN
 from pimentoscale.routes import (
     CallerLimits,
     Route,
@@ -22,6 +28,11 @@
 # Priority 0 is the most urgent. It is converted to an importance, where a higher value
 # is more urgent.
 MAX_PRIORITY = 1000
+# Whether requests to a route of a kind may run more than once.
+IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False, "upload": False}
+# Keys are sent in a header.
+MAX_KEY_BYTES = 1024
+MAX_RATE_PER_S = 1e9
 
 Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
 Positive = Annotated[int, Meta(ge=1, le=MAX_INTEGER)]
@@ -50,13 +61,14 @@
 class _Route(msgspec.Struct):
     name: Text
     path_prefix: Text
-    kind: Literal["safe", "unsafe"]
+    kind: str
     timeout_s: Seconds
     max_attempts: Positive
     aim_s: Seconds | None = None
     priority: Count = 1
     service: str = ""
     traffic_split: list[_Share] = msgspec.field(default_factory=list)
+    public: bool = False
 
 
 class _Host(msgspec.Struct):
@@ -64,14 +76,26 @@
     paths: list[_Route]
 
 
+# What the platform calls a tenant is an organisation here.
+class _Tenant(msgspec.Struct):
+    name: Annotated[str, Meta(min_length=1, max_length=256, pattern=NAME_PATTERN)]
+    keys: list[Annotated[str, Meta(max_length=MAX_KEY_BYTES)]]
+    priority: Count = 1
+    rate_per_s: Annotated[float, Meta(ge=0, le=MAX_RATE_PER_S)] = 0.0
+    burst: Annotated[float, Meta(ge=0, le=MAX_RATE_PER_S)] = 0.0
+
+
 class _Configuration(msgspec.Struct):
     version: Text
     services: list[_Service]
     limits: _Limits
     hosts: list[_Host]
+    # Decoded one by one, so that one that can't be read leaves the others in force.
+    tenants: list[msgspec.Raw] | None = None
 
 
 _DECODER = msgspec.json.Decoder(_Configuration)
+_TENANT_DECODER = msgspec.json.Decoder(_Tenant)
 
 
 def decode_configuration(data: bytes) -> Result[RouteTable, str]:
@@ -91,6 +115,7 @@
         )
         for item in record.services
     }
+    faults: list[str] = []
     routes: list[Route] = []
     prefixes: set[tuple[str, str]] = set()
     for host in record.hosts:
@@ -99,17 +124,55 @@
             if reason is not None:
                 return Err(f"route {item.name!r}: {reason}")
             prefixes.add((host.host, item.path_prefix))
-            routes.append(_make_route(host.host, item))
+            route = _make_route(host.host, item)
+            if not route.is_readable:
+                faults.append(f"route {item.name!r}: unknown kind {item.kind[:64]!r}")
+            routes.append(route)
+    organisations = None
+    if record.tenants is not None:
+        organisations = _decode_organisations(record.tenants, faults)
     limits = CallerLimits(
         header_bytes=record.limits.header_bytes,
         body_bytes=record.limits.body_bytes,
         header_timeout_s=record.limits.header_timeout_s,
         idle_timeout_s=record.limits.idle_timeout_s,
     )
-    table = RouteTable(version=version, services=services, limits=limits, routes=routes)
+    table = RouteTable(
+        version=version,
+        services=services,
+        limits=limits,
+        routes=routes,
+        organisations=organisations,
+        faults=faults,
+    )
     return Ok(table)
 
 
+def _decode_organisations(
+    items: list[msgspec.Raw], faults: list[str]
+) -> OrganisationRegistry:
+    """Return the organisations that can be read; add what is wrong to `faults`."""
+    builder = RegistryBuilder()
+    for index, item in enumerate(items):
+        match decode(_TENANT_DECODER, item):
+            case Ok(tenant):
+                organisation = Organisation(
+                    name=tenant.name,
+                    importance=_get_importance(tenant.priority),
+                    rate_limit=tenant.rate_per_s,
+                    burst=tenant.burst,
+                )
+                builder.add(organisation, tenant.keys)
+            case Err(reason):
+                builder.add_unreadable(f"organisation {index}: {reason}")
+    faults.extend(builder.faults)
+    return builder.build()
+
+
+def _get_importance(priority: int) -> int:
+    return MAX_PRIORITY - min(priority, MAX_PRIORITY)
+
+
 def _decode_version(text: str) -> int | None:
     if len(text) != VERSION_DIGITS or not set(text) <= set(hexdigits):
         return None
@@ -143,11 +206,12 @@
         name=item.name,
         host=host.lower(),
         prefix=item.path_prefix,
-        # Only requests of this kind may run more than once.
-        idempotent=item.kind == "safe",
-        importance=MAX_PRIORITY - min(item.priority, MAX_PRIORITY),
+        idempotent=IDEMPOTENT_BY_KIND.get(item.kind, False),
+        importance=_get_importance(item.priority),
         timeout_s=item.timeout_s,
         objective_s=item.aim_s or item.timeout_s,
         max_targets=item.max_attempts,
         shares=shares or (ServiceShare(service=item.service, weight=1),),
+        is_public=item.public,
+        is_readable=item.kind in IDEMPOTENT_BY_KIND,
     )
--- a/src/pimentoscale/platform/messages.py
+++ b/src/pimentoscale/platform/messages.py
@@ -2,7 +2,13 @@
 
 from result import Err, Ok, Result
 
-from pimentoscale.forwarding.exchange import RequestMetadata, TargetAnswer, ToldLoad
+from pimentoscale.forwarding.exchange import (
+    ANYBODY,
+    RequestMetadata,
+    Sender,
+    TargetAnswer,
+    ToldLoad,
+)
 from pimentoscale.http import Header, HttpRequest, HttpResponse, encode_headers
 
 # Identifies one attempt of a client; targets echo it.
@@ -13,6 +19,11 @@
 _EXPECTED = b"expected-instance"
 # The service of the instance that sent the request.
 _ORIGIN = b"caller-service"
+# The key of the sender's organisation behind this scheme; not for targets.
+_CREDENTIALS = b"authorization"
+_KEY_SCHEME = b"token"
+# The name of the organisation that holds the key.
+_ORGANISATION = b"tenant"
 # Proves that a target created the answer.
 _SIGNATURE = b"response-signature"
 # States that the target did not run the request.
@@ -32,6 +43,7 @@
 MAX_SLOWDOWN_PERCENT = 10_000
 
 _SET_BY_NODE = frozenset((_REMAINING, _EXPECTED, _ORIGIN))
+_SET_FOR_ORGANISATIONS = frozenset((*_SET_BY_NODE, _CREDENTIALS, _ORGANISATION))
 MAX_REMAINING_MS = 86_400_000
 MISDIRECTED = 421
 
@@ -60,12 +72,18 @@
             identity=(identity or b"").decode("latin-1"),
             host=name.partition(":")[0],
             remaining_s=remaining_s,
+            key=_read_key(headers_by_name.get(_CREDENTIALS)),
         )
 
-    def encode_request_headers(self, headers: list[Header], *, service: str) -> bytes:
+    def encode_request_headers(
+        self, headers: list[Header], *, service: str, sender: Sender = ANYBODY
+    ) -> bytes:
         """Return the header lines to forward, without those that a node sets itself."""
-        kept = [item for item in headers if item[0] not in _SET_BY_NODE]
+        dropped = _SET_FOR_ORGANISATIONS if sender.hides_key else _SET_BY_NODE
+        kept = [item for item in headers if item[0] not in dropped]
         kept.append((_ORIGIN, service.encode()))
+        if sender.organisation:
+            kept.append((_ORGANISATION, sender.organisation.encode()))
         return encode_headers(kept)
 
     def encode_target_headers(self, *, remaining_ms: int, instance: str) -> bytes:
@@ -124,6 +142,14 @@
         )
 
 
+def _read_key(credentials: bytes | None) -> bytes | None:
+    """Return the key in a header; empty if it holds something else."""
+    if credentials is None:
+        return None
+    scheme, _, key = credentials.strip().partition(b" ")
+    return key.strip() if scheme.lower() == _KEY_SCHEME else b""
+
+
 def _is_refusal(response: HttpResponse) -> bool:
     """Return whether an answer states that the target did not run a request."""
     return response.status == MISDIRECTED or response.find(_NOT_RUN) is not None
--- a/src/pimentoscale/platform/settings.py
+++ b/src/pimentoscale/platform/settings.py
@@ -45,6 +45,7 @@
     first_port, last_port = reader.read_ports("internal_port_range")
     ip_address = reader.read_host("ip_address")
     bounds = _decode_bounds(values.get("bounds", ""))
+    is_strict = _has_flag(values.get("bounds", ""), "strict_revocation")
     settings = SidecarSettings(
         instance=reader.read_text("node"),
         zone=reader.read_text("zone"),
@@ -63,6 +64,10 @@
         retry_ratio=bounds.get("budget_ratio", 0.2),
         retry_window_s=bounds.get("budget_window_s", 10.0),
         retry_slack=bounds.get("budget_slack", 10.0),
+        revocation_s=bounds.get("revoke_s") if is_strict else None,
+        quota_window_s=bounds.get("quota_window_s", 0.0),
+        quota_overage=bounds.get("quota_overage", 0.0),
+        quota_slack=bounds.get("quota_slack", 0.0),
     )
     if reader.faults:
         return Err(reader.faults)
@@ -130,6 +135,12 @@
     return max(1.0, rate)
 
 
+def _has_flag(text: str, name: str) -> bool:
+    """Return whether a flag is set among the bounds."""
+    flags = dict(item.partition("=")[::2] for item in text.split(","))
+    return flags.get(name, "").strip() == "true"
+
+
 def _decode_bounds(text: str) -> dict[str, float]:
     """Return the numeric bounds; ignore the others, which a sidecar does not use."""
     bounds: dict[str, float] = {}
--- a/src/pimentoscale/platform/store.py
+++ b/src/pimentoscale/platform/store.py
@@ -225,6 +225,7 @@
     """
     if len(data) < PAGE_HEADER.size:
         raise StoreError("the page is too short for its offsets")
+    end_offset, _ = PAGE_HEADER.unpack_from(data)
     position = PAGE_HEADER.size
     records: list[bytes] = []
     while position < len(data):
@@ -241,6 +242,7 @@
         first_offset=offset,
         next_offset=offset + len(records),
         records=records,
+        is_complete=offset + len(records) >= end_offset,
     )
 
 
--- a/src/pimentoscale/routes/table.py
+++ b/src/pimentoscale/routes/table.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from pimentoscale.organisations import OrganisationRegistry
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ServiceShare:
@@ -18,7 +20,8 @@
     Under overload, routes of lower `importance` are refused first. `timeout_s` is the
     longest time that a request may take, `objective_s` the latency objective, after
     which an answer is worth less, and `max_targets` the largest number of targets that
-    one request may reach.
+    one request may reach. Requests to a route that `is_public` need no key, and those
+    to one that is not `is_readable` are refused.
     """
 
     name: str
@@ -30,6 +33,8 @@
     objective_s: float
     max_targets: int
     shares: tuple[ServiceShare, ...]
+    is_public: bool = False
+    is_readable: bool = True
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -53,12 +58,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class RouteTable:
-    """All routes of one version, looked up by host and longest path prefix."""
+    """All routes of one version, looked up by host and longest path prefix.
+
+    `organisations` is None if the version has none: no request needs a key then.
+    `faults` tells which parts of the version could not be read.
+    """
 
     version: int
     services: dict[str, ServiceSettings]
     limits: CallerLimits
     routes: list[Route]
+    organisations: OrganisationRegistry | None = None
+    faults: list[str] = field(default_factory=list)
     _by_host: dict[str, dict[str, Route]] = field(init=False, default_factory=dict)
 
     def __post_init__(self) -> None:
--- a/src/pimentoscale/store/interface.py
+++ b/src/pimentoscale/store/interface.py
@@ -50,12 +50,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class RecordPage:
-    """Records in order from `first_offset` on; `next_offset` follows the last one."""
+    """Records in order from `first_offset` on; `next_offset` follows the last one.
+
+    `is_complete` tells that the store had no later record.
+    """
 
     era: int
     first_offset: int
     next_offset: int
     records: list[bytes] = field(default_factory=list)
+    is_complete: bool = True
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/pimentoscale/store/watch.py
+++ b/src/pimentoscale/store/watch.py
@@ -19,6 +19,7 @@
     StoreGapError,
 )
 from pimentoscale.store.replica import TopicReplica, format_position
+from pimentoscale.suspension import read_boot_time
 
 # Delay after a failed call: doubled up to the maximum, with jitter.
 BACKOFF_MIN_S = 0.1
@@ -43,8 +44,10 @@
     `pause_s` is the minimum delay between two reads: records that are appended within
     it are fetched by one call. `on_records` gets the records read, and `on_result`
     whether a call succeeded, and when. `on_doubt` is called when an answer is overdue,
-    and when the store answers again. `get_phase` returns the part of a wait, from 0 to
-    1, by which the waits of this reader end before those of others.
+    and when the store answers again, and `on_confirmed` with a moment on the boot-time
+    clock at which the store had no record that was not passed on. `get_phase` returns
+    the part of a wait, from 0 to 1, by which the waits of this reader end before those
+    of others.
     """
 
     __slots__ = (
@@ -56,6 +59,7 @@
         "_has_phase",
         "_is_checking",
         "_may_read",
+        "_on_confirmed",
         "_on_doubt",
         "_on_records",
         "_on_result",
@@ -64,9 +68,9 @@
         "_rng",
         "_scope",
         "_store",
-        "_wait_ms",
         "_woken",
         "last_answer_at",
+        "wait_ms",
     )
 
     def __init__(
@@ -81,6 +85,7 @@
         pause_s: float,
         rng: random.Random,
         on_doubt: Callable[["TopicWatcher"], None] = lambda watcher: None,
+        on_confirmed: Callable[[float], None] = lambda at: None,
         get_phase: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._store = store
@@ -89,8 +94,9 @@
         self._on_records = on_records
         self._on_result = on_result
         self._on_doubt = on_doubt
+        self._on_confirmed = on_confirmed
         self._get_phase = get_phase
-        self._wait_ms = wait_ms
+        self.wait_ms = wait_ms
         self._pause_s = pause_s
         self._rng = rng
         self._failed_reads = 0
@@ -185,9 +191,9 @@
             self._has_phase = False
             return 0
         if self._has_phase:
-            return self._wait_ms
+            return self.wait_ms
         self._has_phase = True
-        return int(self._wait_ms * (1 - self._get_phase()))
+        return int(self.wait_ms * (1 - self._get_phase()))
 
     async def _pause(self, wait_s: float) -> None:
         """Wait until the next read, or until a check is due."""
@@ -200,6 +206,7 @@
 
     async def _read_once(self, wait_ms: int) -> None:
         topic = self._replica.topic
+        began = read_boot_time()
         start = self._replica.next_position
         if start is None or self._has_gap or start.era < self._store.era:
             newest = await self._store.read_newest(topic=topic)
@@ -207,6 +214,7 @@
             self._has_gap = False
             self._replica.advance(newest.next_position)
             self._on_records(self._replica, newest.items, "store")
+            self._confirm(began)
             return
         page = await self._store.read(topic=topic, offset=start.offset, wait_ms=wait_ms)
         if page.era > start.era:
@@ -231,6 +239,14 @@
             self._has_phase = False
         self._replica.advance(Position(era=page.era, offset=page.next_offset))
         self._on_records(self._replica, items, "store")
+        if page.is_complete:
+            # The store has waited for records if it found none.
+            has_waited = not page.records and read_boot_time() - began >= wait_ms / 1000
+            self._confirm(began + wait_ms / 1000 if has_waited else began)
+
+    def _confirm(self, at: float) -> None:
+        if not self._store.has_unconfirmed_era:
+            self._on_confirmed(at)
 
     def _check_era(self, era: int) -> None:
         """Raise `StoreError` if other nodes have told of a later era."""
--- a/src/pimentoscale/stream/__init__.py
+++ b/src/pimentoscale/stream/__init__.py
@@ -12,7 +12,9 @@
     PeerUnreachableError,
 )
 from pimentoscale.stream.frames import (
+    AdmittedShares,
     Announcements,
+    AskConfirmation,
     Call,
     CallerRoutes,
     Cancel,
@@ -34,17 +36,22 @@
     RecordIntent,
     Records,
     Reply,
+    ReportUsage,
     ResolveTicket,
     RoutesRecord,
     SlowCall,
+    StateConfirmation,
     TopicRecords,
     Verdict,
+    ZoneDemand,
 )
 from pimentoscale.stream.peer import Peer
 from pimentoscale.stream.silence import finish_connections
 
 __all__ = [
+    "AdmittedShares",
     "Announcements",
+    "AskConfirmation",
     "Call",
     "CallerRoutes",
     "Cancel",
@@ -73,11 +80,14 @@
     "RecordIntent",
     "Records",
     "Reply",
+    "ReportUsage",
     "ResolveTicket",
     "RoutesRecord",
     "SlowCall",
+    "StateConfirmation",
     "TopicRecords",
     "Verdict",
+    "ZoneDemand",
     "connect",
     "decode_frame",
     "encode_frame",
--- a/src/pimentoscale/stream/frames.py
+++ b/src/pimentoscale/stream/frames.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-PROTOCOL_VERSION = 7
+PROTOCOL_VERSION = 8
 
 FRAMES: dict[int, type["Frame"]] = {}
 CODES: dict[type["Frame"], int] = {}
@@ -368,3 +368,54 @@
 @register_frame(26)
 class CheckStore(Frame, kw_only=True):
     """Asks a reader of the store to check on its reads: the sender had no answer."""
+
+
+@register_frame(27)
+class AskConfirmation(Frame, kw_only=True):
+    """Asks the source of the sender's records how old their confirmation is.
+
+    `clock_us` is the sender's clock in microseconds, which the answer returns.
+    """
+
+    clock_us: int
+
+
+@register_frame(28)
+class StateConfirmation(Frame, kw_only=True):
+    """How long ago the store confirmed the configuration; -1 if the sender can't tell.
+
+    `clock_us` is that of the question.
+    """
+
+    clock_us: int
+    age_us: int
+
+
+@register_frame(29)
+class ReportUsage(Frame, kw_only=True):
+    """Requests of each organisation since the last report: those asked and admitted."""
+
+    usage: dict[str, tuple[int, int]]
+
+
+@register_frame(30)
+class AdmittedShares(Frame, kw_only=True):
+    """Which share of an organisation's requests to admit, in millionths, if not all."""
+
+    shares: dict[str, int]
+
+
+@register_frame(31)
+class ZoneDemand(Frame, kw_only=True):
+    """The demand of a zone, in thousandths of a request a second, by organisation.
+
+    It is the statement number `serial` of the home `incarnation`, and confirms a
+    statement of the receiving zone by the same two numbers.
+    """
+
+    zone: str
+    incarnation: int
+    serial: int
+    demands: dict[str, int]
+    confirmed_incarnation: int
+    confirmed_serial: int
--- a/src/pimentoscale/stream/observer.py
+++ b/src/pimentoscale/stream/observer.py
@@ -5,6 +5,7 @@
 from pimentoscale.stream.frames import (
     Announcements,
     CallerRoutes,
+    Frame,
     Heartbeat,
     HeldRecord,
     Hello,
@@ -51,6 +52,9 @@
     def on_hold_record(self, *, frame: HoldRecord) -> HeldRecord | None:
         """Return the answer to a question for a member record, None without one."""
 
+    def on_notice(self, *, remote: Hello, frame: Frame) -> None:
+        """Handle a frame that only nodes on the users' platform send."""
+
     def on_draining(self, *, remote: Hello) -> None:
         """Handle the notice that the other side admits no new work."""
 
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -19,6 +19,7 @@
     PeerUnreachableError,
 )
 from pimentoscale.stream.frames import (
+    AdmittedShares,
     Announcements,
     Call,
     CallerRoutes,
@@ -36,6 +37,7 @@
     Reply,
     RoutesRecord,
     SlowCall,
+    StateConfirmation,
     TopicRecords,
     Verdict,
 )
@@ -418,6 +420,8 @@
                 held = self._observer.on_hold_record(frame=frame)
                 if held is not None:
                     connection.send(held)
+            case StateConfirmation() | AdmittedShares():
+                self._observer.on_notice(remote=remote, frame=frame)
             case Draining():
                 self._observer.on_draining(remote=remote)
             case _:
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -25,6 +25,7 @@
     bool: st.booleans(),
     list[bytes]: st.lists(st.binary(max_size=9), max_size=3),
     list[str]: st.lists(st.text(max_size=9), max_size=3),
+    dict[str, int]: st.dictionaries(st.text(max_size=9), st.integers(0, 2**40)),
     dict[str, tuple[int, int]]: st.dictionaries(
         st.text(max_size=9), st.tuples(st.integers(0, 9), st.integers(0, 9))
     ),
