Confirm the configuration within the bound, and test keys and quotas on nodes

Cause: a read that waited 4 s began before strict revocation was known, and a check of the store is refused within a second of another one; so a node's confirmation was up to 4 s old after its start. Change: a shorter wait ends the read in progress; reads wait a fifth of the bound; a request that bears a key shows its route to be one of callers.

--- a/src/pimentoscale/forwarding/confirmations.py
+++ b/src/pimentoscale/forwarding/confirmations.py
@@ -9,6 +9,7 @@
 from pimentoscale.forwarding.relay import RecordRelay
 from pimentoscale.forwarding.state import SidecarState
 from pimentoscale.logs import get_logger
+from pimentoscale.organisations import get_read_wait_s
 from pimentoscale.stream import (
     AskConfirmation,
     Connection,
@@ -16,9 +17,6 @@
     StateConfirmation,
 )
 
-# How long a reader's read of the configuration waits at the store while withdrawn keys
-# must stop being accepted in time, in milliseconds.
-STRICT_WAIT_MS = 1000
 MICROSECONDS = 1_000_000
 UNKNOWN = -1
 MAX_AGE_S = 86_400.0
@@ -46,6 +44,13 @@
         has_keys = table is None or table.organisations is not None
         return has_keys and self._state.access.revocation_s is not None
 
+    def choose_read_wait_ms(self, usual_ms: int) -> int:
+        """Return how long reads of the configuration wait at the store."""
+        revocation_s = self._state.access.revocation_s
+        if revocation_s is None or not self.is_needed:
+            return usual_ms
+        return min(usual_ms, int(1000 * get_read_wait_s(revocation_s)))
+
     def record_read(self, at: float) -> None:
         """Note that the store held nothing else at a moment on the boot-time clock."""
         self._state.access.confirmation.record(at)
--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -112,6 +112,9 @@
             route=route.name,
             target_idle_s=self._target.get_idle_s(now=now),
             now=now,
+            has_key=metadata.key is not None
+            and table.organisations is not None
+            and not route.is_public,
         )
         if not route.is_readable:
             error = CallError(kind=ErrorKind.ROUTE_UNREADABLE)
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -8,7 +8,7 @@
 
 from result import Result
 
-from pimentoscale.forwarding.confirmations import STRICT_WAIT_MS, Confirmations
+from pimentoscale.forwarding.confirmations import Confirmations
 from pimentoscale.forwarding.copies import RecordCopies, decode_held
 from pimentoscale.forwarding.exchange import Messages
 from pimentoscale.forwarding.forwarder import Forwarder
@@ -517,9 +517,8 @@
         self.forwarder.apply_settings()
         self.relay.update(now=now)
         self.relay.send_status(now=now)
-        self._watchers[0].wait_ms = ROUTES_WAIT_MS
-        if self.confirmations.is_needed:
-            self._watchers[0].wait_ms = STRICT_WAIT_MS
+        wait_ms = self.confirmations.choose_read_wait_ms(ROUTES_WAIT_MS)
+        self._watchers[0].set_wait_ms(wait_ms, now=now)
         self.confirmations.ask(now=read_boot_time())
 
     def _spawn(self, run: Coroutine[Any, Any, None]) -> None:
--- a/src/pimentoscale/forwarding/origins.py
+++ b/src/pimentoscale/forwarding/origins.py
@@ -3,9 +3,10 @@
 Both arrive at the same address, and no field of a request shows which it is. But each
 connection is used by one side only, and while the local target runs no request it makes
 no calls, so a request that arrives then comes from a caller. This identifies caller
-connections and, through them, caller routes. Nodes send each other the caller routes
-that they have identified. A route that was seen often and that no node has identified
-as a caller route is an inner route: only targets call it.
+connections and, through them, caller routes. Where organisations have keys, so does a
+request that bears one on a route that requires it. Nodes send each other the caller
+routes that they have identified. A route that was seen often and that no node has
+identified as a caller route is an inner route: only targets call it.
 
 A caller that retries after a refusal has less time left than one that sends a new
 request.
@@ -52,11 +53,20 @@
         self.on_caller_route: Callable[[str], None] | None = None
 
     def record_request(
-        self, *, connection: int, route: str, target_idle_s: float, now: float
+        self,
+        *,
+        connection: int,
+        route: str,
+        target_idle_s: float,
+        now: float,
+        has_key: bool = False,
     ) -> None:
-        """Update the connection and the route from a request that has arrived."""
+        """Update the connection and the route from a request that has arrived.
+
+        With `has_key` it bears a key that its route requires: calls of targets do not.
+        """
         is_idle = target_idle_s >= MIN_IDLE_S and now - self._started_at >= STARTUP_S
-        if is_idle or route in self._caller_routes:
+        if has_key or is_idle or route in self._caller_routes:
             self._caller_connections.add(connection)
         if connection not in self._caller_connections:
             self._unattributed[route] = self._unattributed.get(route, 0) + 1
--- a/src/pimentoscale/limits/home.py
+++ b/src/pimentoscale/limits/home.py
@@ -20,7 +20,7 @@
 # Smoothing time of the demand that sets the share, in seconds, and of the one by which
 # zones divide the limit.
 DEMAND_SMOOTHING_S = 0.4
-STATED_SMOOTHING_S = 1.5
+STATED_SMOOTHING_S = 3.0
 # Part of the spare requests of a window that deepens the buckets, so that the chance of
 # the arrivals in a zone refuses nobody below the limit. The other part covers what is
 # admitted until a new share has reached all nodes.
@@ -41,6 +41,7 @@
     asked: int = 0
     asked_at: float = 0.0
     share: float = 1.0
+    is_new: bool = True
 
 
 class QuotaHome:
@@ -78,7 +79,6 @@
                 continue
             account = self._accounts.get(name)
             if account is None:
-                # A home that takes over does not know what was admitted before.
                 bucket = TokenBucket(
                     rate=organisation.rate_limit,
                     depth=organisation.burst,
@@ -157,6 +157,10 @@
         spare = self._bounds.get_spare(rate=rate, burst=burst)
         depth = zone_share * burst + spare * DEPTH_PART / zones
         account.bucket.set_limit(rate=zone_share * rate, depth=depth, now=now)
+        if account.is_new:
+            # What another home admitted before is not known: the burst may be used up.
+            account.is_new = False
+            account.bucket.tokens += spare * DEPTH_PART / zones
 
     def _update_demand(self, account: _Account, elapsed_s: float) -> None:
         if elapsed_s <= 0:
--- a/src/pimentoscale/organisations/__init__.py
+++ b/src/pimentoscale/organisations/__init__.py
@@ -7,6 +7,7 @@
 )
 from pimentoscale.organisations.confirmation import (
     Confirmation,
+    get_read_wait_s,
     get_usable_age_s,
 )
 from pimentoscale.organisations.registry import (
@@ -23,5 +24,6 @@
     "Organisation",
     "OrganisationRegistry",
     "RegistryBuilder",
+    "get_read_wait_s",
     "get_usable_age_s",
 ]
--- a/src/pimentoscale/organisations/confirmation.py
+++ b/src/pimentoscale/organisations/confirmation.py
@@ -12,6 +12,9 @@
 # rest covers the clocks of other machines, and changes that the store has acknowledged
 # before its waiting reads see them.
 USABLE_SHARE = 0.8
+# Share of that bound for which a read of the configuration may wait at the store: most
+# of the usable age is left if the store falls silent then.
+READ_WAIT_SHARE = 0.2
 
 
 def get_usable_age_s(revocation_s: float) -> float:
@@ -19,6 +22,11 @@
     return revocation_s * USABLE_SHARE
 
 
+def get_read_wait_s(revocation_s: float) -> float:
+    """Return how long a read of the configuration may wait at the store."""
+    return revocation_s * READ_WAIT_SHARE
+
+
 class Confirmation:
     """The newest moment at which the store held nothing that this node lacks."""
 
--- a/src/pimentoscale/store/watch.py
+++ b/src/pimentoscale/store/watch.py
@@ -68,9 +68,9 @@
         "_rng",
         "_scope",
         "_store",
+        "_wait_ms",
         "_woken",
         "last_answer_at",
-        "wait_ms",
     )
 
     def __init__(
@@ -96,7 +96,7 @@
         self._on_doubt = on_doubt
         self._on_confirmed = on_confirmed
         self._get_phase = get_phase
-        self.wait_ms = wait_ms
+        self._wait_ms = wait_ms
         self._pause_s = pause_s
         self._rng = rng
         self._failed_reads = 0
@@ -122,6 +122,16 @@
         if now - self._checked_at < CHECK_PERIOD_S:
             return
         self._checked_at = now
+        self._read_now(now)
+
+    def set_wait_ms(self, wait_ms: int, *, now: float) -> None:
+        """Set how long a read waits; one in progress that waits longer is ended."""
+        if wait_ms < self._wait_ms:
+            self._read_now(now)
+        self._wait_ms = wait_ms
+
+    def _read_now(self, now: float) -> None:
+        """End the read in progress or the pause, for a read that does not wait."""
         self._is_checking = True
         self._woken.set()
         if self._scope is not None:
@@ -191,9 +201,9 @@
             self._has_phase = False
             return 0
         if self._has_phase:
-            return self.wait_ms
+            return self._wait_ms
         self._has_phase = True
-        return int(self.wait_ms * (1 - self._get_phase()))
+        return int(self._wait_ms * (1 - self._get_phase()))
 
     async def _pause(self, wait_s: float) -> None:
         """Wait until the next read, or until a check is due."""
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -67,11 +67,18 @@
     machines: dict[str, Machine] = field(default_factory=dict)
     version: int = 0
     attempts: int = 0
+    # Fields of the settings of machines that are started.
+    settings: dict[str, Any] = field(default_factory=dict)
 
-    def configure(self, routes: list[dict[str, Any]], services: list[str]) -> None:
+    def configure(
+        self,
+        routes: list[dict[str, Any]],
+        services: list[str],
+        tenants: list[dict[str, Any]] | None = None,
+    ) -> None:
         """Write a new version to the store."""
         self.version += 1
-        document = {
+        document: dict[str, Any] = {
             "version": f"{self.version:08x}",
             "services": [
                 {"name": name, "health_path": "/health", "max_connections": 50}
@@ -85,6 +92,8 @@
             },
             "hosts": [{"host": HOST_NAME, "paths": routes}],
         }
+        if tenants is not None:
+            document["tenants"] = tenants
         self.write(json.dumps(document).encode())
 
     def write(self, value: bytes) -> None:
@@ -114,6 +123,7 @@
             retry_ratio=0.2,
             retry_window_s=10.0,
             retry_slack=50.0,
+            **self.settings,
         )
         target = StandInTarget(
             identity=f"i-{name}",
@@ -174,10 +184,13 @@
         identity: str = "",
         remaining_ms: int = 5000,
         headers: tuple[tuple[bytes, bytes], ...] = (),
+        key: str = "",
     ) -> HttpResponse:
         """Send a request to a node and return the response."""
         self.attempts += 1
         address = self.machines[name].settings.outgoing
+        if key:
+            headers = (*headers, (b"authorization", f"Token {key}".encode()))
         request = HttpRequest(
             method=method,
             path=path.encode(),
