Let roots in again within two seconds of the end of a shortage

Cause: the limit of a route followed the share of bad answers per answer, and grew by 0.12 an answer: a limit cut to 2 sees few answers. Change: four good answers in a row over half a second end a shortage for the limit, and it grows by a constant ratio up to 0.85 of what it was before the cuts. The share that routes announce as degraded is smoothed as before.

--- a/src/pimentoscale/admission/root_limiter.py
+++ b/src/pimentoscale/admission/root_limiter.py
@@ -27,12 +27,20 @@
 # The limit is raised below this part of the share at which it is cut.
 RAISE_RATIO = 0.4
 BAD_SHARE_SMOOTHING = 0.05
+# After so many good answers in a row, over at least this time, no share of bad answers is
+# left: a limit that was cut far lets too few answers through to smooth them.
+GOOD_STREAK = 4
+GOOD_STREAK_S = 0.5
 CUT_RATIO = 0.85
 # A route that yields to a more important one is cut by more.
 YIELD_CUT_RATIO = 0.75
 # Least time between two cuts: a cut shows in the answers only after that time.
 CUT_INTERVAL_S = 0.4
 INCREASE_PER_ANSWER = 0.12
+# A limit below this part of what it was before a series of cuts grows by a constant
+# ratio: what cut it has ended. `REGROWTH_TIME_S` is the time of a growth by e.
+REGROWTH_SHARE = 0.85
+REGROWTH_TIME_S = 0.25
 MIN_LIMIT = 2.0
 # The limit is higher by this factor for a caller that was refused before.
 REFUSED_CALLER_FACTOR = 1.25
@@ -62,12 +70,19 @@
 @dataclass(slots=True, kw_only=True)
 class _RouteState:
     # `bad_share` and `usual_bad_share` are the short-term and the long-term share of
-    # bad answers, `recent_s` and `baseline_s` those averages of the time of a request.
+    # bad answers, `shortage` the one that sets the limit, and `recent_s` and `baseline_s` those averages of the time of a request.
     limit: float
     running: int = 0
     bad_share: float = 0.0
+    shortage: float = 0.0
     usual_bad_share: float = 0.0
     cut_at: float = 0.0
+    # The limit before the last series of cuts, and whether that goes on.
+    limit_before_cuts: float = 0.0
+    is_being_cut: bool = False
+    # Good answers since the last bad one, and when that was.
+    good_streak: int = 0
+    bad_at: float = 0.0
     importance: int = 0
     answers: int = 0
     recent_s: float = 0.0
@@ -95,9 +110,18 @@
         self.recent_s += smoothing * (elapsed_s - self.recent_s)
         self.baseline_s = self._update_baseline(self.baseline_s, self.recent_s)
 
-    def add_result(self, *, is_bad: bool) -> None:
+    def add_result(self, *, is_bad: bool, now: float) -> None:
         """Update the recent and the usual share of bad answers."""
         self.bad_share += BAD_SHARE_SMOOTHING * (is_bad - self.bad_share)
+        self.shortage += BAD_SHARE_SMOOTHING * (is_bad - self.shortage)
+        if is_bad:
+            self.good_streak = 0
+            self.bad_at = now
+        else:
+            self.good_streak += 1
+        is_long = now - self.bad_at >= GOOD_STREAK_S
+        if self.good_streak >= GOOD_STREAK and is_long:
+            self.shortage = 0.0
         self.usual_bad_share = self._update_baseline(
             self.usual_bad_share, self.bad_share
         )
@@ -169,24 +193,33 @@
             CUT_SHARE_LEAST_IMPORTANT, CUT_SHARE_MOST_IMPORTANT, rank
         )
         state.importance = importance
+        pause_s = max(0.0, now - state.observed_at)
         state.observed_at = now
         state.add_time(elapsed_s)
         must_yield = state.is_slow and self._must_yield(importance, now)
         is_bad = failed or elapsed_s > good_s or must_yield
-        state.add_result(is_bad=is_bad)
-        if state.bad_share > cut_share:
+        state.add_result(is_bad=is_bad, now=now)
+        if state.shortage > cut_share:
             if is_bad and now - state.cut_at >= CUT_INTERVAL_S:
                 base = min(state.limit, state.running + 1.0)
+                if not state.is_being_cut:
+                    state.is_being_cut = True
+                    state.limit_before_cuts = base
                 ratio = YIELD_CUT_RATIO if must_yield else CUT_RATIO
                 state.limit = max(MIN_LIMIT, base * ratio)
                 state.cut_at = now
                 return True
-        elif state.bad_share < RAISE_RATIO * cut_share:
+        elif state.shortage < RAISE_RATIO * cut_share:
             max_limit = min(
                 self._capacity * HEADROOM, HEADROOM * state.running + MIN_LIMIT
             )
+            state.is_being_cut = False
             if state.limit < max_limit:
-                state.limit = min(max_limit, state.limit + INCREASE_PER_ANSWER)
+                increase = INCREASE_PER_ANSWER
+                if state.limit < REGROWTH_SHARE * state.limit_before_cuts:
+                    ratio = min(1.0, pause_s / REGROWTH_TIME_S)
+                    increase = max(increase, state.limit * ratio)
+                state.limit = min(max_limit, state.limit + increase)
         return False
 
     def get_degraded_importance(self, *, now: float) -> int | None:
--- /dev/null
+++ b/tests/test_root_recovery.py
@@ -0,0 +1,141 @@
+"""The limit of roots after a shortage at a service far below has ended.
+
+Load: nine in ten answers are bad for six seconds, whatever the limit, as when a service
+below sheds more than half of its calls. Then all answers are good again.
+"""
+
+import heapq
+import random
+from statistics import median
+
+import pytest
+
+from pimentoscale.admission import RootRequestLimiter
+
+WORK_S = 0.5
+BAD_SHARE = 0.9
+SHORTAGE_FROM_S = 10.0
+SHORTAGE_S = 6.0
+# The users' stated aim for the end of a shortage.
+RECOVERY_S = 2.0
+SERVED_SHARE = 0.9
+GIVE_UP_S = 40.0
+SEEDS = range(20)
+
+
+def measure_recovery_s(*, rate: float, rank: float, capacity: int, seed: int) -> float:
+    """Return for how long after the shortage less than `SERVED_SHARE` is let in."""
+    rng = random.Random(seed)
+    limiter = RootRequestLimiter(capacity=capacity)
+    ends: list[float] = []
+    arrivals: list[tuple[float, bool]] = []
+    shortage_ends = SHORTAGE_FROM_S + SHORTAGE_S
+    now = 0.0
+    while now < shortage_ends + GIVE_UP_S:
+        now += rng.expovariate(rate)
+        while ends and ends[0] <= now:
+            ended = heapq.heappop(ends)
+            is_short = SHORTAGE_FROM_S <= ended < shortage_ends
+            limiter.end("r")
+            limiter.observe(
+                "r",
+                elapsed_s=WORK_S,
+                objective_s=1.5,
+                failed=is_short and rng.random() < BAD_SHARE,
+                rank=rank,
+                now=ended,
+            )
+        is_let_in = limiter.try_start("r")
+        if is_let_in:
+            heapq.heappush(ends, now + WORK_S)
+        arrivals.append((now, is_let_in))
+    # A window of a second, or of ten requests if these take longer.
+    window_s = max(1.0, 10 / rate)
+    after = [item for item in arrivals if item[0] >= shortage_ends]
+    first = 0
+    for last, (time, _) in enumerate(after):
+        while after[first][0] < time - window_s:
+            first += 1
+        window = after[first : last + 1]
+        if time < shortage_ends + window_s:
+            continue
+        if sum(let_in for _, let_in in window) >= SERVED_SHARE * len(window):
+            return max(0.0, time - window_s - shortage_ends)
+    return GIVE_UP_S
+
+
+@pytest.mark.parametrize("rank", [0.0, 1.0])
+@pytest.mark.parametrize(
+    ("rate", "capacity"), [(4.0, 39), (15.0, 39), (40.0, 39), (400.0, 400)]
+)
+def test_requests_are_let_in_again_soon_after_a_shortage(
+    rate: float, capacity: int, rank: float
+) -> None:
+    times = [
+        measure_recovery_s(rate=rate, rank=rank, capacity=capacity, seed=seed)
+        for seed in SEEDS
+    ]
+    assert median(times) <= RECOVERY_S
+
+
+def measure_lasting_shortage(*, rank: float, seed: int) -> tuple[float, float]:
+    """Return goodput and the share of bad answers while demand is twice the room.
+
+    More than `room` concurrent requests fail in proportion, as in a service below that
+    sheds what is too much.
+    """
+    rng = random.Random(seed)
+    limiter = RootRequestLimiter(capacity=39)
+    room = 10
+    rate = 2 * room / WORK_S
+    ends: list[float] = []
+    good = bad = 0
+    now = 0.0
+    while now < 60.0:
+        now += rng.expovariate(rate)
+        while ends and ends[0] <= now:
+            running = len(ends)
+            ended = heapq.heappop(ends)
+            failed = rng.random() < max(0.0, 1 - room / running)
+            limiter.end("r")
+            limiter.observe(
+                "r",
+                elapsed_s=WORK_S,
+                objective_s=1.5,
+                failed=failed,
+                rank=rank,
+                now=ended,
+            )
+            if now > 15.0:
+                good += not failed
+                bad += failed
+        if limiter.try_start("r"):
+            heapq.heappush(ends, now + WORK_S * rng.uniform(0.8, 1.2))
+    return good / (45.0 * room / WORK_S), bad / (good + bad)
+
+
+@pytest.mark.parametrize(
+    ("rank", "most_bad"),
+    # The share of bad answers at which a limit is cut, by importance.
+    [(0.0, 0.2), (1.0, 0.6)],
+)
+def test_shortage_that_lasts_does_not_return(rank: float, most_bad: float) -> None:
+    results = [measure_lasting_shortage(rank=rank, seed=seed) for seed in SEEDS]
+    assert median(item[0] for item in results) >= 0.8
+    assert median(item[1] for item in results) <= most_bad
+
+
+if __name__ == "__main__":
+    for rank in (0.0, 1.0):
+        for rate, capacity in ((4.0, 39), (15.0, 39), (40.0, 39), (400.0, 400)):
+            times = [
+                measure_recovery_s(rate=rate, rank=rank, capacity=capacity, seed=seed)
+                for seed in SEEDS
+            ]
+            print(rank, rate, round(median(times), 2), round(max(times), 2))
+        results = [measure_lasting_shortage(rank=rank, seed=seed) for seed in SEEDS]
+        print(
+            "lasting",
+            round(median(item[0] for item in results), 3),
+            round(median(item[1] for item in results), 3),
+        )
