Show that crowds of clients exceed the memory of a node

Cause: each connection holds its body alone; nothing counts them together. They run one at a time, after the others.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,8 @@
 	$(BIN)/ruff format --check src tests benchmarks
 	$(BIN)/ruff check src tests benchmarks
 	$(BIN)/mypy
-	$(BIN)/pytest --numprocesses $(WORKERS) --dist worksteal
+	$(BIN)/pytest -m "not alone" --numprocesses $(WORKERS) --dist worksteal
+	$(BIN)/pytest -m alone
 
 bench: $(READY)
 	$(BIN)/pytest benchmarks
--- a/tests/sidecar_processes.py
+++ b/tests/sidecar_processes.py
@@ -6,7 +6,7 @@
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from pimentoscale.platform.settings import SETTINGS_VARIABLE
@@ -27,6 +27,8 @@
     announcements: Address
     upstream: Address
     log: Path
+    # All listeners by name, with `stream` and `metrics`.
+    addresses: dict[str, Address] = field(default_factory=dict)
     peak_mb: float = 0.0
 
     async def watch_memory(self) -> None:
@@ -44,7 +46,9 @@
     return 0.0
 
 
-def write_settings(folder: Path, *, store: Address, service: str) -> dict[str, str]:
+def write_settings(
+    folder: Path, *, store: Address, service: str, settings: dict[str, str]
+) -> dict[str, str]:
     """Return settings of a sidecar, which were written to a file in the folder."""
     addresses = {
         name: find_address() for name in ("outbound", "inbound", "ready", "control")
@@ -62,6 +66,7 @@
     }
     for name, address in addresses.items():
         values[f"listen_addresses.{name}"] = str(address)
+    values.update(settings)
     text = "".join(f"{key}={value}\n" for key, value in values.items())
     (folder / "node.conf").write_text(text)
     return values
@@ -73,12 +78,32 @@
     return Address(host=host, port=int(port))
 
 
+def _read_addresses(values: dict[str, str]) -> dict[str, Address]:
+    """Return the addresses of all listeners by name."""
+    prefix = "listen_addresses."
+    addresses = {
+        key.removeprefix(prefix): read_address(value)
+        for key, value in values.items()
+        if key.startswith(prefix)
+    }
+    first, last = values["internal_port_range"].split(",")
+    for name, port in (("stream", first), ("metrics", last)):
+        addresses[name] = Address(host=values["ip_address"], port=int(port))
+    return addresses
+
+
 @asynccontextmanager
 async def run_sidecar(
-    folder: Path, *, store: Address, service: str
+    folder: Path,
+    *,
+    store: Address,
+    service: str,
+    settings: dict[str, str] | None = None,
 ) -> AsyncIterator[SidecarProcess]:
     """Run a sidecar until the end of the context, and watch its memory."""
-    values = write_settings(folder, store=store, service=service)
+    values = write_settings(
+        folder, store=store, service=service, settings=settings or {}
+    )
     environment = {**os.environ, SETTINGS_VARIABLE: str(folder / "node.conf")}
     log = folder / "node.log"
     with log.open("wb") as output:
@@ -95,6 +120,7 @@
         announcements=read_address(values["listen_addresses.control"]),
         upstream=read_address(values["application_address"]),
         log=log,
+        addresses=_read_addresses(values),
     )
     watching = None
     try:
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -75,6 +75,8 @@
         routes: list[dict[str, Any]],
         services: list[str],
         tenants: list[dict[str, Any]] | None = None,
+        *,
+        body_bytes: int = 1_000_000,
     ) -> None:
         """Write a new version to the store."""
         self.version += 1
@@ -86,7 +88,7 @@
             ],
             "limits": {
                 "header_bytes": 16384,
-                "body_bytes": 1_000_000,
+                "body_bytes": body_bytes,
                 "header_timeout_s": 3,
                 "idle_timeout_s": 15,
             },
