Bound the bytes that a node holds for all its clients together

Cause: bodies, heads, unread answers and large frames were bounded one by one; a crowd of legal ones exceeded the memory and the descriptors of the machine. Change: one account from the memory in the settings; what has held the most bytes for the longest time gives way (503, not run; unread answers are cut). Large bodies are no longer copied to join them with heads or frames.

--- a/src/pimentoscale/admission/root_limiter.py
+++ b/src/pimentoscale/admission/root_limiter.py
@@ -27,8 +27,8 @@
 # The limit is raised below this part of the share at which it is cut.
 RAISE_RATIO = 0.4
 BAD_SHARE_SMOOTHING = 0.05
-# After so many good answers in a row, over at least this time, no share of bad answers is
-# left: a limit that was cut far lets too few answers through to smooth them.
+# After so many good answers in a row, over at least this time, no share of bad answers
+# is left: a limit that was cut far lets too few answers through to smooth them.
 GOOD_STREAK = 4
 GOOD_STREAK_S = 0.5
 CUT_RATIO = 0.85
@@ -70,7 +70,8 @@
 @dataclass(slots=True, kw_only=True)
 class _RouteState:
     # `bad_share` and `usual_bad_share` are the short-term and the long-term share of
-    # bad answers, `shortage` the one that sets the limit, and `recent_s` and `baseline_s` those averages of the time of a request.
+    # bad answers, `shortage` the one that sets the limit, and `recent_s` and
+    # `baseline_s` those averages of the time of a request.
     limit: float
     running: int = 0
     bad_share: float = 0.0
--- a/src/pimentoscale/forwarding/attempts.py
+++ b/src/pimentoscale/forwarding/attempts.py
@@ -22,6 +22,7 @@
     Placement,
     PlacementRequest,
 )
+from pimentoscale.forwarding.reservations import LARGE_BODY_BYTES
 from pimentoscale.forwarding.retries import RetryBudget, get_slack_share
 from pimentoscale.forwarding.state import SidecarState
 from pimentoscale.forwarding.target import LocalTarget
@@ -29,12 +30,15 @@
 from pimentoscale.logs import get_logger
 from pimentoscale.routes import Route
 from pimentoscale.stream import (
+    BodyReserved,
     ForwardReply,
     Frame,
     FrameError,
+    Peer,
     PeerLostError,
     PeerSilentError,
     PeerUnreachableError,
+    ReserveBody,
 )
 
 # Limits of attempts at one request, for inner requests and for those of callers. An
@@ -44,6 +48,8 @@
 # The target's node ends a request at its deadline. The entry node waits this much
 # longer for that result before it ends the request itself.
 ANSWER_GRACE_S = 0.15
+# How long a node may take to answer whether it has room for a large body.
+RESERVE_TIMEOUT_S = 0.5
 # Rough size of the head of a request or a response.
 HEAD_BYTES = 200
 
@@ -231,6 +237,10 @@
             peer = await self._links.get(
                 view.member, expires_at=self._get_deadline(forward), now=loop.time()
             )
+            if not await self._reserve(peer, forward):
+                return Attempt.make_not_run(
+                    ErrorKind.OVERLOADED, detail="no memory for the body"
+                )
             now = loop.time()
             remaining_s = max(0.0, self._get_deadline(forward) - now)
             frame = make_forward(forward, remaining_s=remaining_s, stated=view.stated)
@@ -252,6 +262,24 @@
             return Attempt.make_not_run(kind, detail=str(error))
         return await _receive(answering)
 
+    async def _reserve(self, peer: Peer, forward: ForwardRequest) -> bool:
+        """Have a node keep room for a large body; return False if it has none.
+
+        Raises `PeerUnreachableError` if it does not answer: nothing was handed over.
+        """
+        size = len(forward.message.body)
+        if size <= LARGE_BODY_BYTES:
+            return True
+        remaining_s = self._get_deadline(forward) - asyncio.get_running_loop().time()
+        timeout_s = max(0.0, min(RESERVE_TIMEOUT_S, remaining_s))
+        try:
+            answer = await peer.query(
+                ReserveBody(query=0, size=size), timeout_s=timeout_s
+            )
+        except PeerLostError as error:
+            raise PeerUnreachableError(str(error)) from error
+        return isinstance(answer, BodyReserved) and answer.granted
+
     def _get_deadline(self, forward: ForwardRequest) -> float:
         """Return a request's deadline, sooner if this node stops meanwhile."""
         return self._state.shutdown.limit_deadline(get_deadline(forward))
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -25,8 +25,16 @@
 from pimentoscale.forwarding.stopping import GracefulStop
 from pimentoscale.forwarding.target import LocalTarget
 from pimentoscale.forwarding.views import NodeViews
-from pimentoscale.http import HttpLimits, HttpRequest, HttpResponse, HttpServer
+from pimentoscale.http import (
+    MAX_CONNECTIONS,
+    Handler,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
 from pimentoscale.logs import get_logger
+from pimentoscale.memory import make_account
 from pimentoscale.metrics import Gauge
 from pimentoscale.routes import RouteTable
 from pimentoscale.store import RecordStore, TopicReplica, TopicWatcher
@@ -56,9 +64,24 @@
 # The same for members, whose readers are known to be in touch by their reads of routes.
 MEMBERS_WAIT_MS = 25_000
 
+# Requests of the platform to a node: the size of a body, and the connections.
+SMALL_BODY_BYTES = 64 * 1024
+SMALL_CONNECTIONS = 64
+# Descriptors that are not for sockets, and the part of the others that is for callers;
+# the rest is for other nodes and the target.
+RESERVED_DESCRIPTORS = 200
+CALLERS_SHARE = 0.5
+
 log = get_logger("sidecar")
 
 
+def get_caller_connections(file_descriptors: int) -> int:
+    """Return how many connections of callers a process of so many descriptors takes."""
+    if not file_descriptors:
+        return MAX_CONNECTIONS
+    return max(1, int(CALLERS_SHARE * (file_descriptors - RESERVED_DESCRIPTORS)))
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class StoreTopics:
     """Topics of the store that hold routes and members, and the decoder of routes."""
@@ -91,11 +114,20 @@
         )
         self._handle_announcement = handle_announcement
         self._store = store
-        self.target = LocalTarget(settings=settings, messages=messages, now=now)
+        self.account = make_account(settings.memory_mb)
+        self.account.on_evicted = self._count_evicted
+        self.target = LocalTarget(
+            settings=settings, messages=messages, now=now, account=self.account
+        )
         self.target.is_open = False
         self.links = Links(state=self.state)
         self.views = NodeViews(own_instance=settings.instance, rng=rng)
-        self.receiver = Receiver(state=self.state, target=self.target, links=self.links)
+        self.receiver = Receiver(
+            state=self.state,
+            target=self.target,
+            links=self.links,
+            account=self.account,
+        )
         self.copies = RecordCopies(
             state=self.state, links=self.links, receiver=self.receiver
         )
@@ -141,14 +173,12 @@
             handler=self.forwarder.handle,
             limits=HttpLimits(),
             may_run_ahead=self.forwarder.may_run_ahead,
+            account=self.account,
+            max_connections=get_caller_connections(settings.file_descriptors),
         )
-        self._readiness = HttpServer(
-            handler=self._answer_readiness, limits=HttpLimits()
-        )
-        self._announcements = HttpServer(
-            handler=self._answer_announcement, limits=HttpLimits()
-        )
-        self._metrics = HttpServer(handler=self._answer_metrics, limits=HttpLimits())
+        self._readiness = self._make_small_server(self._answer_readiness)
+        self._announcements = self._make_small_server(self._answer_announcement)
+        self._metrics = self._make_small_server(self._answer_metrics)
         self.relay = RecordRelay(
             state=self.state,
             links=self.links,
@@ -232,6 +262,18 @@
             AdmittedShares: self.quotas.handle_shares,
         }
 
+    def _make_small_server(self, handler: Handler) -> HttpServer:
+        """Return a server for the platform, whose requests are short."""
+        return HttpServer(
+            handler=handler,
+            limits=HttpLimits(body_bytes=SMALL_BODY_BYTES),
+            account=self.account,
+            max_connections=SMALL_CONNECTIONS,
+        )
+
+    def _count_evicted(self, label: str) -> None:
+        self.state.metrics.count("memory_given_up", label)
+
     async def start(self) -> None:
         """Start the servers and the background tasks."""
         settings = self.state.settings
@@ -428,6 +470,7 @@
             "target_rate_limit": _get_rate_gauge(self.target.rate_limit),
             "streams_up": self.links.count_up(),
             "members": len(self.state.members),
+            "held_bytes": self.account.held,
             "store_answer_age_seconds": self._get_store_age_s(),
             "store_era": self._store.era,
         }
--- a/src/pimentoscale/forwarding/receiver.py
+++ b/src/pimentoscale/forwarding/receiver.py
@@ -10,11 +10,14 @@
 from pimentoscale.forwarding.exchange import Attempt, ForwardRequest
 from pimentoscale.forwarding.frames import make_forward_reply, read_forward
 from pimentoscale.forwarding.links import Links
+from pimentoscale.forwarding.reservations import BodyReservations
 from pimentoscale.forwarding.state import SidecarState
 from pimentoscale.forwarding.target import LocalTarget
 from pimentoscale.logs import get_logger
+from pimentoscale.memory import MemoryAccount
 from pimentoscale.stream import (
     AskConfirmation,
+    BodyReserved,
     CallerRoutes,
     Cancel,
     CheckStore,
@@ -32,6 +35,7 @@
     HoldRecord,
     Listener,
     ReportUsage,
+    ReserveBody,
     RoutesRecord,
     ZoneDemand,
     finish_connections,
@@ -46,11 +50,14 @@
 class _Session:
     """One accepted stream and the tasks of its requests, by query number."""
 
-    __slots__ = ("connection", "remote", "tasks")
+    __slots__ = ("connection", "remote", "reservations", "tasks")
 
-    def __init__(self, *, connection: Connection, remote: Hello) -> None:
+    def __init__(
+        self, *, connection: Connection, remote: Hello, reservations: BodyReservations
+    ) -> None:
         self.connection = connection
         self.remote = remote
+        self.reservations = reservations
         self.tasks: dict[int, asyncio.Task[None]] = {}
 
 
@@ -67,9 +74,15 @@
     """
 
     def __init__(
-        self, *, state: SidecarState, target: LocalTarget, links: Links
+        self,
+        *,
+        state: SidecarState,
+        target: LocalTarget,
+        links: Links,
+        account: MemoryAccount,
     ) -> None:
         self._state = state
+        self._account = account
         self._target = target
         self._links = links
         self._sessions: set[_Session] = set()
@@ -174,7 +187,11 @@
         session: _Session | None = None
         try:
             remote = await connection.exchange_hello(hello=self._state.make_hello())
-            session = _Session(connection=connection, remote=remote)
+            session = _Session(
+                connection=connection,
+                remote=remote,
+                reservations=BodyReservations(account=self._account),
+            )
             self._sessions.add(session)
             routes = self.list_caller_routes()
             if routes:
@@ -188,6 +205,7 @@
             connection.close()
             if session is not None:
                 self._sessions.discard(session)
+                session.reservations.close()
                 if self.on_follower_lost is not None:
                     self.on_follower_lost(connection)
                 if session.tasks:
@@ -204,6 +222,11 @@
             case Forward():
                 running = self._run_request(session, frame)
                 session.tasks[frame.query] = asyncio.create_task(running)
+            case ReserveBody():
+                granted = session.reservations.reserve(frame.size)
+                session.connection.send(
+                    BodyReserved(query=frame.query, granted=granted)
+                )
             case Cancel():
                 task = session.tasks.get(frame.call)
                 if task is not None:
@@ -245,6 +268,7 @@
                 )
 
     async def _run_request(self, session: _Session, frame: Forward) -> None:
+        holding = session.reservations.take(len(frame.body))
         try:
             now = asyncio.get_running_loop().time()
             if not self._may_take(frame, now=now):
@@ -256,6 +280,8 @@
                 session.connection.answered_at = asyncio.get_running_loop().time()
         finally:
             session.tasks.pop(frame.query, None)
+            if holding is not None:
+                self._account.release(holding)
 
     def _may_take(self, frame: Forward, *, now: float) -> bool:
         """Return whether to take a request, which may come during a stop."""
--- a/src/pimentoscale/forwarding/settings.py
+++ b/src/pimentoscale/forwarding/settings.py
@@ -16,7 +16,8 @@
     `revocation_s` is the time after which no node may accept a withdrawn key, None if a
     node that is cut off may go on. All nodes together may exceed what an organisation
     is allowed within `quota_window_s` by the share `quota_overage`, and by
-    `quota_slack` requests.
+    `quota_slack` requests. The process may take `memory_mb` and `file_descriptors`; 0
+    is no limit.
     """
 
     instance: str
@@ -38,6 +39,8 @@
     quota_window_s: float = 0.0
     quota_overage: float = 0.0
     quota_slack: float = 0.0
+    memory_mb: int = 0
+    file_descriptors: int = 0
 
 
 # Fields that can change while a node runs; the others take effect after a restart.
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -36,6 +36,7 @@
     UpstreamAnnouncement,
     UpstreamRegistration,
 )
+from pimentoscale.memory import MemoryAccount
 
 # A request that is not idempotent can't be retried, so it uses a connection only if
 # that was in use within this time: the target may close an idle one just as the request
@@ -71,12 +72,19 @@
     """
 
     def __init__(
-        self, *, settings: SidecarSettings, messages: Messages, now: float
+        self,
+        *,
+        settings: SidecarSettings,
+        messages: Messages,
+        now: float,
+        account: MemoryAccount | None = None,
     ) -> None:
         self._messages = messages
         self._queue = TargetQueue(now=now)
         self._root_limiter = RootRequestLimiter(capacity=1)
-        self._client = HttpClient(address=settings.upstream, limit=DEFAULT_CONNECTIONS)
+        self._client = HttpClient(
+            address=settings.upstream, limit=DEFAULT_CONNECTIONS, account=account
+        )
         self.registration = UpstreamRegistration(address=settings.upstream)
         # Until this node knows what it acknowledged before a restart, nothing is sent.
         self.is_open = True
--- a/src/pimentoscale/http/__init__.py
+++ b/src/pimentoscale/http/__init__.py
@@ -16,10 +16,17 @@
     encode_headers,
     find_header,
 )
-from pimentoscale.http.server import HttpLimits, HttpServer
+from pimentoscale.http.server import (
+    MAX_CONNECTIONS,
+    Handler,
+    HttpLimits,
+    HttpServer,
+)
 
 __all__ = [
+    "MAX_CONNECTIONS",
     "STATUSES",
+    "Handler",
     "Header",
     "HttpClient",
     "HttpClientConnection",
--- a/src/pimentoscale/http/client.py
+++ b/src/pimentoscale/http/client.py
@@ -9,6 +9,7 @@
     HttpClientConnection,
     NotConnectedError,
 )
+from pimentoscale.memory import MemoryAccount
 from pimentoscale.settings import Address
 
 # Connecting on one machine or within one region takes milliseconds.
@@ -26,11 +27,13 @@
 class HttpClient:
     """Client of one address, with a pool of at most `limit` connections."""
 
-    def __init__(self, *, address: Address, limit: int) -> None:
+    def __init__(
+        self, *, address: Address, limit: int, account: MemoryAccount | None = None
+    ) -> None:
         self.address = address
         self.limit = limit
         self.counts = ClientCounts()
-        self._buffered = BufferedBytes()
+        self._buffered = BufferedBytes(account=account)
         self._idle: list[HttpClientConnection] = []
         self._in_use = 0
 
--- a/src/pimentoscale/http/client_connection.py
+++ b/src/pimentoscale/http/client_connection.py
@@ -7,6 +7,7 @@
 import fcntl
 import socket
 import struct
+import sys
 import termios
 from collections.abc import Callable
 from typing import Any
@@ -22,6 +23,8 @@
     HttpResponse,
 )
 from pimentoscale.logs import get_logger
+from pimentoscale.memory import Holding, MemoryAccount
+from pimentoscale.memory.account import COPIES
 
 # After about three seconds TCP keep-alive closes a connection whose other side is lost.
 # Without it, pending reads and idle connections would not detect the loss.
@@ -68,20 +71,31 @@
 
 
 class BufferedBytes:
-    """The bytes that all exchanges in progress of one client have received."""
+    """The bytes that all exchanges in progress of one client have received.
 
-    __slots__ = ("_large", "total")
+    What the larger ones receive also counts in the account of the process.
+    """
+
+    __slots__ = ("_account", "_large", "total")
 
-    def __init__(self) -> None:
+    def __init__(self, *, account: MemoryAccount | None = None) -> None:
         self.total = 0
+        self._account = account or MemoryAccount(capacity=sys.maxsize)
         # Exchanges that received more than `SMALL_RESPONSE_BYTES`.
-        self._large: set[HttpClientConnection] = set()
+        self._large: dict[HttpClientConnection, Holding] = {}
 
-    def add(self, exchange: "HttpClientConnection", size: int) -> None:
+    def add(self, exchange: "HttpClientConnection", size: int, *, now: float) -> None:
         """Count received bytes; fail the largest exchanges if there are too many."""
         self.total += size
         if exchange.received > SMALL_RESPONSE_BYTES:
-            self._large.add(exchange)
+            holding = self._large.get(exchange)
+            if holding is None:
+                holding = Holding(
+                    label="answer", on_evict=exchange.fail_oversized, now=now
+                )
+                self._large[exchange] = holding
+            if not self._account.grow(holding, COPIES * size, now=now):
+                return
         while self.total > MAX_BUFFERED_BYTES and self._large:
             largest = max(self._large, key=lambda item: item.received)
             largest.fail_oversized()
@@ -89,7 +103,9 @@
     def remove(self, exchange: "HttpClientConnection") -> None:
         """Count the bytes of an exchange no more, as it has ended."""
         self.total -= exchange.received
-        self._large.discard(exchange)
+        holding = self._large.pop(exchange, None)
+        if holding is not None:
+            self._account.release(holding)
 
 
 def _accept_any(response: HttpResponse) -> bool:
@@ -170,9 +186,9 @@
         self._is_done = False
         self._head_received = 0
         self._parser = httptools.HttpResponseParser(self)
-        data = request.encode()
-        self._limit_unacknowledged(len(data))
-        self._transport.write(data)
+        parts = request.encode_parts()
+        self._limit_unacknowledged(sum(map(len, parts)))
+        self._transport.writelines(parts)
         expiry = None
         if expires_at is not None:
             expiry = Expiry(expires_at=expires_at, on_expired=self._time_out)
@@ -258,7 +274,7 @@
         is_oversized = (
             self._head_received > MAX_HEAD_BYTES or self.received > MAX_RESPONSE_BYTES
         )
-        self._buffered.add(self, size)
+        self._buffered.add(self, size, now=asyncio.get_running_loop().time())
         if is_oversized:
             self.fail_oversized()
 
--- a/src/pimentoscale/http/message.py
+++ b/src/pimentoscale/http/message.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 from http import HTTPStatus
+from typing import cast
 
 import msgspec
 
@@ -29,6 +30,8 @@
 # part takes processor time, and a body of one-byte chunks would block the event loop.
 MAX_SMALL_PARTS = 4096
 MIN_PART_BYTES = 32
+# Larger bodies are not copied to join them with a head.
+LARGE_BODY_BYTES = 256 * 1024
 
 
 def find_header(headers: Iterable[Header], name: bytes) -> bytes | None:
@@ -95,9 +98,12 @@
 
     def take(self) -> bytes:
         """Return what has arrived and keep nothing of it."""
-        data = bytes(self._data)
+        data = self._data
         self.clear()
-        return data
+        if len(data) > LARGE_BODY_BYTES:
+            # Not copied; nobody changes it any more.
+            return cast(bytes, data)
+        return bytes(data)
 
 
 class HttpRequest(msgspec.Struct, kw_only=True):
@@ -123,16 +129,24 @@
 
         It states the length of the body, unless a GET, HEAD or DELETE request has none.
         """
+        return self._encode_head() + self.body
+
+    def encode_parts(self) -> list[bytes]:
+        """Return the encoded request; a large body is a part of its own."""
+        if len(self.body) > LARGE_BODY_BYTES:
+            return [self._encode_head(), self.body]
+        return [self.encode()]
+
+    def _encode_head(self) -> bytes:
         length = b""
         if self.body or self.method not in (b"GET", b"HEAD", b"DELETE"):
             length = b"content-length: %d\r\n" % len(self.body)
-        return b"%b %b HTTP/1.1\r\n%b%b%b\r\n%b" % (
+        return b"%b %b HTTP/1.1\r\n%b%b%b\r\n" % (
             self.method,
             self.path,
             encode_headers(self.headers),
             self.encoded_headers,
             length,
-            self.body,
         )
 
 
@@ -157,15 +171,24 @@
         `closes` announces that the connection closes after it, and `to_head` omits the
         body, as in an answer to a HEAD request.
         """
+        head = self._encode_head(closes=closes)
+        return head if to_head else head + self.body
+
+    def encode_parts(self, *, closes: bool, to_head: bool = False) -> list[bytes]:
+        """Return the encoded response; a large body is a part of its own."""
+        if len(self.body) > LARGE_BODY_BYTES and not to_head:
+            return [self._encode_head(closes=closes), self.body]
+        return [self.encode(closes=closes, to_head=to_head)]
+
+    def _encode_head(self, *, closes: bool) -> bytes:
         length = b""
         if self.status not in BODYLESS_STATUSES:
             length = b"content-length: %d\r\n" % len(self.body)
-        return b"HTTP/1.1 %d %b\r\n%b%b%b%b\r\n%b" % (
+        return b"HTTP/1.1 %d %b\r\n%b%b%b%b\r\n" % (
             self.status,
             REASON_PHRASES.get(self.status, b"Unknown"),
             encode_headers(self.headers),
             self.encoded_headers,
             length,
             b"connection: close\r\n" if closes else b"",
-            b"" if to_head else self.body,
         )
--- a/src/pimentoscale/http/server.py
+++ b/src/pimentoscale/http/server.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import math
+import sys
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -20,6 +22,8 @@
     HttpResponse,
 )
 from pimentoscale.logs import get_logger
+from pimentoscale.memory import Holding, MemoryAccount
+from pimentoscale.memory.account import COPIES
 
 BACKLOG = 4096
 # Bytes that a client may send before its answer; further bytes stay in the socket.
@@ -32,6 +36,11 @@
 # Bytes that a head may have beside its names and values, and its number of lines.
 HEAD_MARGIN_BYTES = 16 * 1024
 MAX_HEADERS = 1024
+# Connections of one listener unless its owner sets another limit.
+MAX_CONNECTIONS = 4096
+CROWD_LOG_PERIOD_S = 1.0
+# When a client should send a request again that was refused for lack of memory.
+RETRY_AFTER_S = b"1"
 # Requests of one connection that are served side by side, in front of the others.
 MAX_CONCURRENT = 8
 
@@ -60,6 +69,8 @@
 
     request: HttpRequest
     keeps_alive: bool
+    # The body in the account of the process, if there is one.
+    holding: Holding | None = None
     task: asyncio.Task[None] | None = None
     response: HttpResponse | None = None
 
@@ -84,6 +95,9 @@
         self._header_bytes = 0
         self._body = BodyBuffer()
         self._body_bytes = 0
+        # What the request that is arriving holds, and the answers that are not read.
+        self._holding: Holding | None = None
+        self._unsent: Holding | None = None
         # Bytes received since the last part of a body or the end of a request, and
         # whether there was neither in the bytes that are parsed now.
         self._head_received = 0
@@ -92,6 +106,7 @@
         self._queue: deque[_Exchange] = deque()
         self._error_status: int | None = None
         self._is_receiving = False
+        self._receiving_since = 0.0
         self.last_used = 0.0
 
     @property
@@ -102,6 +117,11 @@
         transport = self._transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
+    @property
+    def is_serving(self) -> bool:
+        """Return whether a request is in progress."""
+        return bool(self._exchanges)
+
     @property
     def has_incomplete_request(self) -> bool:
         """Return whether a request has begun to arrive and none is being served."""
@@ -110,8 +130,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
         self._transport = transport  # type: ignore[assignment]
+        # `pause_writing` is called as soon as a client does not read.
+        self._transport.set_write_buffer_limits(high=0)  # type: ignore[union-attr]
         self.last_used = asyncio.get_running_loop().time()
-        self._server.connections.add(self)
+        self._server.add_connection(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, since its answer can't be delivered."""
@@ -119,6 +141,10 @@
         if self._server.on_closed is not None:
             self._server.on_closed(id(self))
         self._drop_exchanges()
+        self._server.release(self._holding)
+        self._holding = None
+        self._server.release(self._unsent)
+        self._unsent = None
         # These refer to this connection: the garbage collector would keep them, and the
         # last request with them, for long.
         self._parser = self._transport = None
@@ -133,11 +159,16 @@
         """Parse the bytes; a complete request starts its task."""
         if self._error_status is not None or self._parser is None:
             return
-        self.last_used = asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        if not self._is_receiving:
+            self._receiving_since = now
+        self.last_used = now
         self._is_head_only = True
         try:
             self._parser.feed_data(data)
             self._check_head(len(data))
+            if self._is_receiving and self._is_head_only:
+                self._hold(COPIES * len(data))
         except httptools.HttpParserUpgrade:
             self._fail(400)
         except httptools.HttpParserError as error:
@@ -170,8 +201,10 @@
             self._reject_head()
 
     def on_headers_complete(self) -> None:
-        """Send 100 Continue if the client expects it before the body."""
+        """Refuse a body that is announced too large; ask for one that is expected."""
         for name, value in self._headers:
+            if name == b"content-length" and self._is_too_large(value):
+                self._reject_body()
             if name == b"expect" and value.lower() == b"100-continue":
                 self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -180,8 +213,10 @@
         self._is_head_only = False
         self._body_bytes += len(data)
         if self._body_bytes > self._server.limits.body_bytes:
-            self._error_status = 413
-            raise httptools.HttpParserError("the body is too large")
+            self._reject_body()
+        self._hold(COPIES * len(data))
+        if self._error_status is not None:
+            raise httptools.HttpParserError("no memory is left for the body")
         self._body.add(data)
         if self._body.is_fragmented:
             raise httptools.HttpParserError("the chunks are too small")
@@ -199,17 +234,79 @@
         self._headers = []
         self._is_head_only = False
         keeps_alive = self._parser.should_keep_alive()
-        self._queue.append(_Exchange(request=request, keeps_alive=keeps_alive))
+        holding, self._holding = self._holding, None
+        if holding is not None:
+            # From now on it may run.
+            holding.is_evictable = False
+        self._queue.append(
+            _Exchange(request=request, keeps_alive=keeps_alive, holding=holding)
+        )
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
         if not self.is_busy and self._transport is not None:
             self._transport.close()
 
+    def pause_writing(self) -> None:
+        """Count the answers that the client does not read."""
+        now = asyncio.get_running_loop().time()
+        if self._transport is None:
+            return
+        if self._unsent is None:
+            self._unsent = Holding(label="unread answer", on_evict=self._abort, now=now)
+        size = self._transport.get_write_buffer_size() - self._unsent.size
+        self._server.account.grow(self._unsent, max(0, size), now=now)
+
+    def resume_writing(self) -> None:
+        """Go on after the client has read all that was sent."""
+        self._server.release(self._unsent)
+        self._unsent = None
+        self._send_responses()
+
+    def close_unused(self) -> None:
+        """Close at once, for the sake of another connection."""
+        self._abort()
+
     def reject_incomplete(self) -> None:
         """Answer 408 to a client that has stopped in the middle of a request."""
         self._fail(408)
 
+    def is_late(self, now: float, limits: HttpLimits) -> bool:
+        """Return whether a request that is arriving takes too long.
+
+        That is a head as a whole, and a body without a further byte.
+        """
+        if now - self.last_used > limits.header_timeout_s:
+            return True
+        in_head = not self._body_bytes and self._head_received > 0
+        return in_head and now - self._receiving_since > limits.header_timeout_s
+
+    def _hold(self, size: int) -> None:
+        """Count bytes of the request that is arriving."""
+        now = asyncio.get_running_loop().time()
+        if self._holding is None:
+            self._holding = Holding(
+                label="incomplete request", on_evict=self._give_up, now=now
+            )
+        self._server.account.grow(self._holding, size, now=now)
+
+    def _give_up(self) -> None:
+        """Refuse the request that is arriving: it has not run."""
+        self._holding = None
+        self._fail(503)
+
+    def _abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _is_too_large(self, length: bytes) -> bool:
+        digits = length.lstrip(b"0")[:20]
+        return digits.isdigit() and int(digits) > self._server.limits.body_bytes
+
+    def _reject_body(self) -> None:
+        self._error_status = 413
+        raise httptools.HttpParserError("the body is too large")
+
     def _add_header_bytes(self, size: int) -> None:
         self._header_bytes += size
         if self._header_bytes > self._server.limits.header_bytes:
@@ -233,12 +330,16 @@
         self._is_receiving = False
         self._headers = []
         self._body.clear()
+        self._server.release(self._holding)
+        self._holding = None
         # What came before is answered first.
         if not self._exchanges and not self._queue:
             self._send_error()
 
     def _send_error(self) -> None:
-        response = HttpResponse(status=self._error_status or 400)
+        status = self._error_status or 400
+        headers = [(b"retry-after", RETRY_AFTER_S)] if status == 503 else []
+        response = HttpResponse(status=status, headers=headers)
         self._write(response.encode(closes=True))
         if self._transport is not None:
             self._transport.close()
@@ -252,8 +353,9 @@
 
     def _may_start(self, request: HttpRequest) -> bool:
         if not self._exchanges:
-            return True
-        if len(self._exchanges) >= MAX_CONCURRENT:
+            # A client that does not read gets no further answers.
+            return self._unsent is None
+        if len(self._exchanges) >= MAX_CONCURRENT or self._unsent is not None:
             return False
         return self._server.may_run_ahead(request)
 
@@ -270,7 +372,7 @@
 
     def _send_responses(self) -> None:
         """Send the responses that are complete, up to the first that is not."""
-        while self._exchanges and self._exchanges[0].response is not None:
+        while self._may_send():
             exchange = self._exchanges.popleft()
             response = exchange.response
             assert response is not None
@@ -278,7 +380,8 @@
             is_last = not self._exchanges and not self._queue
             closes = not exchange.keeps_alive or (self._server.is_closing and is_last)
             to_head = exchange.request.method == b"HEAD"
-            self._write(response.encode(closes=closes, to_head=to_head))
+            self._server.release(exchange.holding)
+            self._write(*response.encode_parts(closes=closes, to_head=to_head))
             self.last_used = asyncio.get_running_loop().time()
             if closes:
                 self._drop_exchanges()
@@ -291,6 +394,12 @@
         else:
             self._resume_reading()
 
+    def _may_send(self) -> bool:
+        """Return whether the next response is complete and the client reads."""
+        if not self._exchanges or self._unsent is not None:
+            return False
+        return self._exchanges[0].response is not None
+
     def _resume_reading(self) -> None:
         if not self._is_paused or self._queue or self._error_status is not None:
             return
@@ -300,18 +409,19 @@
 
     def _drop_exchanges(self) -> None:
         """Cancel all requests in progress, and drop those that wait."""
-        exchanges = list(self._exchanges)
+        exchanges = [*self._exchanges, *self._queue]
         self._exchanges.clear()
         self._queue.clear()
         for exchange in exchanges:
+            self._server.release(exchange.holding)
             # A cancelled task refers to its exchange: the two would be a cycle.
             task, exchange.task = exchange.task, None
             if task is not None:
                 task.cancel()
 
-    def _write(self, data: bytes) -> None:
+    def _write(self, *parts: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
+            self._transport.writelines(parts)
 
 
 class HttpServer:
@@ -320,7 +430,8 @@
     The task of the handler is cancelled when the client disconnects. `on_closed` is
     called with the id of each connection that has closed. `may_run_ahead` tells whether
     a request may be served before those that came before it on its connection have been
-    answered.
+    answered. `account` counts the bytes held for clients, and above `max_connections`
+    the connection that was unused for longest is closed.
     """
 
     def __init__(
@@ -329,15 +440,43 @@
         handler: Handler,
         limits: HttpLimits,
         may_run_ahead: Callable[[HttpRequest], bool] = lambda request: False,
+        account: MemoryAccount | None = None,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         self.handler = handler
         self.limits = limits
+        self.account = account or MemoryAccount(capacity=sys.maxsize)
+        self.max_connections = max_connections
         self.may_run_ahead = may_run_ahead
         self.is_closing = False
         self.on_closed: Callable[[int], None] | None = None
         self.connections: set[_ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._idle_check: asyncio.Task[None] | None = None
+        self._crowd_logged_at = -math.inf
+
+    def add_connection(self, connection: _ServerConnection) -> None:
+        """Register a new connection; close another one if there are too many."""
+        self.connections.add(connection)
+        if len(self.connections) <= self.max_connections:
+            return
+        unused = [item for item in self.connections if not item.is_serving]
+        victim = min(unused, key=lambda item: item.last_used)
+        now = asyncio.get_running_loop().time()
+        if now - self._crowd_logged_at >= CROWD_LOG_PERIOD_S:
+            self._crowd_logged_at = now
+            log.warning(
+                "%d connections: the one unused for longest is closed, for %.1f s",
+                len(self.connections),
+                now - victim.last_used,
+            )
+        self.connections.discard(victim)
+        victim.close_unused()
+
+    def release(self, holding: Holding | None) -> None:
+        """Count a holding no more."""
+        if holding is not None:
+            self.account.release(holding)
 
     @property
     def busy_connections(self) -> int:
@@ -388,7 +527,7 @@
             for connection in list(self.connections):
                 unused_s = now - connection.last_used
                 if connection.has_incomplete_request:
-                    if unused_s > self.limits.header_timeout_s:
+                    if connection.is_late(now, self.limits):
                         connection.reject_incomplete()
                 elif unused_s > idle_s:
                     connection.close_if_idle()
--- a/src/pimentoscale/platform/settings.py
+++ b/src/pimentoscale/platform/settings.py
@@ -68,6 +68,8 @@
         quota_window_s=bounds.get("quota_window_s", 0.0),
         quota_overage=bounds.get("quota_overage", 0.0),
         quota_slack=bounds.get("quota_slack", 0.0),
+        memory_mb=_decode_count(values.get("limits.memory_mb", "")),
+        file_descriptors=_decode_count(values.get("limits.file_descriptors", "")),
     )
     if reader.faults:
         return Err(reader.faults)
@@ -135,6 +137,11 @@
     return max(1.0, rate)
 
 
+def _decode_count(text: str) -> int:
+    """Return a whole number, 0 if none is stated."""
+    return int(_decode_bounds(f"count={text}").get("count", 0.0))
+
+
 def _has_flag(text: str, name: str) -> bool:
     """Return whether a flag is set among the bounds."""
     flags = dict(item.partition("=")[::2] for item in text.split(","))
--- a/src/pimentoscale/programs/sidecar.py
+++ b/src/pimentoscale/programs/sidecar.py
@@ -16,6 +16,7 @@
 from pimentoscale.forwarding.settings import SidecarSettings
 from pimentoscale.garbage_collection import configure_garbage_collector
 from pimentoscale.logs import configure_structured_logs, get_logger
+from pimentoscale.memory import configure_allocator
 from pimentoscale.platform.announcement_handler import handle_announcement
 from pimentoscale.platform.configuration import (
     CONFIGURATION_KEY,
@@ -79,6 +80,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload_settings, sidecar, path)
     await sidecar.start()
     configure_garbage_collector()
+    configure_allocator()
     watcher = asyncio.create_task(watch_settings(sidecar, path, last_state=file_state))
     await sidecar.wait_stopped()
     watcher.cancel()
--- a/src/pimentoscale/stream/codec.py
+++ b/src/pimentoscale/stream/codec.py
@@ -7,14 +7,20 @@
 
 import struct
 from collections.abc import Iterator
+from typing import cast
 
 import msgspec
 
-from pimentoscale.stream.frames import CODES, FRAMES, Frame
+from pimentoscale.stream.frames import CODES, FRAMES, Forward, ForwardReply, Frame
 
 # A forwarded body is sent in one frame: room for the largest body that operators
 # allow and for its headers.
 MAX_FRAME_BYTES = 68 * 1024 * 1024
+# Before the other side has said who it is.
+MAX_FIRST_FRAME_BYTES = 4096
+# Bodies from this size on are encoded into a buffer with room for the frame's header,
+# so that they are copied once.
+LARGE_BODY_BYTES = 64 * 1024
 # Length of the encoded frame in bytes, and the frame's number.
 FRAME_HEADER = struct.Struct(">IB")
 
@@ -28,6 +34,12 @@
 
 def encode_frame(frame: Frame) -> bytes:
     """Return the encoded frame, preceded by its header."""
+    if isinstance(frame, Forward | ForwardReply) and len(frame.body) > LARGE_BODY_BYTES:
+        buffer = bytearray(len(frame.body) + len(frame.lines) + LARGE_BODY_BYTES)
+        _encoder.encode_into(frame, buffer, FRAME_HEADER.size)
+        size = len(buffer) - FRAME_HEADER.size
+        FRAME_HEADER.pack_into(buffer, 0, size, CODES[type(frame)])
+        return cast(bytes, buffer)
     data = _encoder.encode(frame)
     return FRAME_HEADER.pack(len(data), CODES[type(frame)]) + data
 
@@ -47,47 +59,50 @@
 
 
 class FrameReader:
-    """Decodes frames from a byte stream that arrives in pieces of any size."""
+    """Decodes frames from a byte stream that arrives in pieces of any size.
 
-    __slots__ = ("_buffer",)
+    A frame of more than `max_frame_bytes` is an error.
+    """
+
+    __slots__ = ("_buffer", "max_frame_bytes")
 
-    def __init__(self) -> None:
+    def __init__(self, *, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
         self._buffer = bytearray()
+        self.max_frame_bytes = max_frame_bytes
 
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Yield the frames that `data` completes.
 
         Raises `FrameError` if the bytes are not a frame.
         """
+        received: bytes | memoryview = data
         if self._buffer:
             self._buffer += data
-            data = bytes(self._buffer) if self._has_whole_frame() else b""
-            if not data:
+            if not self._has_whole_frame():
                 return
-            self._buffer.clear()
-        position, end = 0, len(data)
+            received, self._buffer = memoryview(self._buffer), bytearray()
+        position, end = 0, len(received)
         while end - position >= FRAME_HEADER.size:
-            size, code = FRAME_HEADER.unpack_from(data, position)
-            _check_size(size)
+            size, code = FRAME_HEADER.unpack_from(received, position)
+            self._check_size(size)
             start = position + FRAME_HEADER.size
             if start + size > end:
                 break
             position = start + size
-            yield decode_frame(code, data[start:position])
+            yield decode_frame(code, received[start:position])
         if position < end:
-            self._buffer += data[position:]
+            self._buffer += received[position:]
 
     def _has_whole_frame(self) -> bool:
         """Return whether the buffer holds at least one whole frame."""
         if len(self._buffer) < FRAME_HEADER.size:
             return False
         size: int = FRAME_HEADER.unpack_from(self._buffer)[0]
-        _check_size(size)
+        self._check_size(size)
         return len(self._buffer) >= FRAME_HEADER.size + size
 
-
-def _check_size(size: int) -> None:
-    if size > MAX_FRAME_BYTES:
-        raise FrameError(
-            f"a frame of {size} bytes exceeds the limit of {MAX_FRAME_BYTES}"
-        )
+    def _check_size(self, size: int) -> None:
+        if size > self.max_frame_bytes:
+            raise FrameError(
+                f"a frame of {size} bytes exceeds the limit of {self.max_frame_bytes}"
+            )
--- a/src/pimentoscale/stream/connection.py
+++ b/src/pimentoscale/stream/connection.py
@@ -11,7 +11,13 @@
 from collections.abc import Awaitable, Callable
 
 from pimentoscale.settings import Address
-from pimentoscale.stream.codec import FrameError, FrameReader, encode_frame
+from pimentoscale.stream.codec import (
+    MAX_FIRST_FRAME_BYTES,
+    MAX_FRAME_BYTES,
+    FrameError,
+    FrameReader,
+    encode_frame,
+)
 from pimentoscale.stream.frames import PROTOCOL_VERSION, Frame, Hello
 
 HELLO_TIMEOUT_S = 2.0
@@ -43,7 +49,7 @@
         loop = asyncio.get_running_loop()
         self._on_connected = on_connected
         self._transport: asyncio.Transport | None = None
-        self._reader = FrameReader()
+        self._reader = FrameReader(max_frame_bytes=MAX_FIRST_FRAME_BYTES)
         self._on_frame: FrameHandler | None = None
         self._pending: deque[Frame] = deque()
         self._hello_waiter: asyncio.Future[None] | None = None
@@ -149,6 +155,8 @@
         self.last_received_at = asyncio.get_running_loop().time()
         try:
             for frame in self._reader.feed(data):
+                # The first frame, or the connection fails.
+                self._reader.max_frame_bytes = MAX_FRAME_BYTES
                 if self._on_frame is not None:
                     self._on_frame(frame)
                 else:
--- a/src/pimentoscale/stream/frames.py
+++ b/src/pimentoscale/stream/frames.py
@@ -419,3 +419,19 @@
     demands: dict[str, int]
     confirmed_incarnation: int
     confirmed_serial: int
+
+
+@register_frame(32)
+class ReserveBody(Frame, kw_only=True):
+    """Asks for room for the body of a request that the sender is about to forward."""
+
+    query: int
+    size: int
+
+
+@register_frame(33)
+class BodyReserved(Frame, kw_only=True):
+    """Whether there is room for a body; it is kept for a short time."""
+
+    query: int
+    granted: bool
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -21,6 +21,7 @@
 from pimentoscale.stream.frames import (
     AdmittedShares,
     Announcements,
+    BodyReserved,
     Call,
     CallerRoutes,
     Cancel,
@@ -399,7 +400,13 @@
                 self._handle_chunk(frame)
             case Credit():
                 self._handle_credit(frame)
-            case Verdict() | ForwardReply() | RoutesRecord() | HeldRecord():
+            case (
+                Verdict()
+                | ForwardReply()
+                | RoutesRecord()
+                | HeldRecord()
+                | BodyReserved()
+            ):
                 self._handle_query_reply(frame)
             case Records():
                 self._observer.on_records(frame=frame)
@@ -467,7 +474,7 @@
             pending.sender.window.add(size=frame.size)
 
     def _handle_query_reply(
-        self, frame: Verdict | ForwardReply | RoutesRecord | HeldRecord
+        self, frame: Verdict | ForwardReply | RoutesRecord | HeldRecord | BodyReserved
     ) -> None:
         answer = self._queries.get(frame.query)
         if answer is None or answer.done():
