Share too little room between organisations

Cause: the limit of a route and the queue knew no organisations; one that sends much took the room of all others. Change: rank before importance; an even part of a limit that is nearly used up, and a quarter beyond it for who has less; the displaced request is one of the organisation that has most waiting.

--- a/src/pimentoscale/admission/root_limiter.py
+++ b/src/pimentoscale/admission/root_limiter.py
@@ -12,9 +12,13 @@
 importance of their degraded routes, and for a less important route that has become
 slower than its baseline all answers count as bad. A route that is as fast as its
 baseline uses no overloaded service and is left alone.
+
+Organisations share the limit of a route. While it is nearly used up, one that has more
+than its even part of it leaves the rest to the others, and the less important leave a
+part of it to the more important ones. What nobody else uses is there for all.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 # An answer is good within this part of the objective, for the least and the most
 # important of all routes that callers use.
@@ -44,6 +48,12 @@
 MIN_LIMIT = 2.0
 # The limit is higher by this factor for a caller that was refused before.
 REFUSED_CALLER_FACTOR = 1.25
+# From this part of a limit on, an organisation may use an even part of it only, and
+# with less than that it may go beyond the limit by a part: requests come by chance.
+SHARED_FROM = 0.9
+EVEN_PART_EXCESS = 0.25
+# The part of a limit that the least important organisations leave to the others.
+RANK_RESERVE = 0.1
 # A limit is not raised above this multiple of the running requests or of the capacity.
 HEADROOM = 2.0
 # A route is degraded above this share of bad answers. Without overload, the longest
@@ -84,6 +94,8 @@
     # Good answers since the last bad one, and when that was.
     good_streak: int = 0
     bad_at: float = 0.0
+    # Running requests of each organisation that has any.
+    by_organisation: dict[str, int] = field(default_factory=dict)
     importance: int = 0
     answers: int = 0
     recent_s: float = 0.0
@@ -103,6 +115,15 @@
         usual_share = DEGRADED_RATIO * self.usual_bad_share
         return self.bad_share > max(DEGRADED_SHARE, usual_share)
 
+    def get_limit_factor(self, organisation: str) -> float:
+        """Return by how much the limit differs for an organisation."""
+        own = self.by_organisation.get(organisation, 0)
+        users = len(self.by_organisation) + (own == 0)
+        if users == 1:
+            return 1.0
+        has_even_part = own >= max(1.0, self.limit / users)
+        return SHARED_FROM if has_even_part else 1 + EVEN_PART_EXCESS
+
     def add_time(self, elapsed_s: float) -> None:
         """Update the recent and the baseline time from one request."""
         self.answers += 1
@@ -153,21 +174,42 @@
         """Set the number of requests that the target runs at once."""
         self._capacity = float(capacity)
 
-    def try_start(self, route: str, *, was_refused: bool = False) -> bool:
-        """Count a request that starts; return False if the route is at its limit."""
+    def try_start(
+        self,
+        route: str,
+        *,
+        was_refused: bool = False,
+        organisation: str = "",
+        rank: float = 1.0,
+    ) -> bool:
+        """Count a request that starts; return False if the route is at its limit.
+
+        `rank` is 1 for the most important organisations, and for all if there is none.
+        """
         state = self._routes.get(route)
         if state is None:
             state = _RouteState(limit=self._capacity * HEADROOM)
             self._routes[route] = state
         limit = state.limit * (REFUSED_CALLER_FACTOR if was_refused else 1.0)
+        limit *= 1 - RANK_RESERVE * (1 - rank)
+        if organisation:
+            limit *= state.get_limit_factor(organisation)
         if state.running >= limit:
             return False
+        if organisation:
+            own = state.by_organisation.get(organisation, 0)
+            state.by_organisation[organisation] = own + 1
         state.running += 1
         return True
 
-    def end(self, route: str) -> None:
+    def end(self, route: str, *, organisation: str = "") -> None:
         """Count a request that ends, whatever its outcome."""
-        self._routes[route].running -= 1
+        state = self._routes[route]
+        state.running -= 1
+        if organisation:
+            state.by_organisation[organisation] -= 1
+            if not state.by_organisation[organisation]:
+                del state.by_organisation[organisation]
 
     def observe(
         self,
--- a/src/pimentoscale/admission/urgency.py
+++ b/src/pimentoscale/admission/urgency.py
@@ -4,9 +4,12 @@
 a caller. Refusing one call wastes all work that its tree has done so far. So calls that
 targets make are refused only when they cannot end by their deadline, or not start by
 their due time since the upstream states a rate limit. Requests start in the order of
-their due times; among those to be displaced the least important goes first.
+their due times; among those to be displaced the least important goes first, and among
+equally important ones one of the organisation that has the most waiting.
 """
 
+from collections import Counter
+
 from sortedcontainers import SortedDict, SortedKeyList
 
 from pimentoscale.admission.call_queue import Entry
@@ -26,6 +29,8 @@
 # Assumed run time of a kind that has not run yet.
 DEFAULT_RUN_MS = 20.0
 MIN_RETRY_AFTER_MS = 50
+# Entries among which the one to displace is chosen by its organisation.
+COMPARED_ENTRIES = 64
 # Bounds the memory that waiting requests use.
 MAX_WAITING = 2000
 
@@ -72,6 +77,7 @@
         "_by_importance",
         "_run_times",
         "_waiting",
+        "_waiting_by_caller",
         "rate_limit",
         "running",
         "slowdown",
@@ -82,6 +88,7 @@
         self._run_times = RunTimes()
         self._waiting: SortedKeyList[Entry] = SortedKeyList(key=_get_due)
         self._by_importance: SortedDict[int, SortedKeyList[Entry]] = SortedDict()
+        self._waiting_by_caller: Counter[str] = Counter()
         self._backlog_ms = 0.0
         self.running = 0
         self.slowdown = SlowdownEstimate()
@@ -232,6 +239,8 @@
             group = SortedKeyList(key=_get_due)
             self._by_importance[entry.importance] = group
         group.add(entry)
+        if entry.caller:
+            self._waiting_by_caller[entry.caller] += 1
         entry.expected_ms = self.estimate_run_ms(entry.kind, now=now)
         self._backlog_ms += entry.expected_ms
 
@@ -241,6 +250,10 @@
         group.remove(entry)
         if not group:
             del self._by_importance[entry.importance]
+        if entry.caller:
+            self._waiting_by_caller[entry.caller] -= 1
+            if not self._waiting_by_caller[entry.caller]:
+                del self._waiting_by_caller[entry.caller]
         self._backlog_ms = max(0.0, self._backlog_ms - entry.expected_ms)
 
     def _find_refusal(self, entry: Entry, now: float) -> ErrorKind | None:
@@ -281,18 +294,30 @@
     def _find_least_important(self, entry: Entry) -> Entry | None:
         """Return the least important request that is due no later than `entry`.
 
-        That may be `entry` itself. Of equally important ones the latest is returned,
-        and None if all are more important than `entry`.
+        That may be `entry` itself. Of equally important ones the latest is returned, or
+        a late one of an organisation that has more waiting, and None if all are more
+        important than `entry`.
         """
         for importance, group in self._by_importance.items():
             if importance > entry.importance:
                 return None
             position = group.bisect_key_right(entry.due)
             if position:
-                latest: Entry = group[position - 1]
-                return latest
+                return self._choose_displaced(group, position)
         return None
 
+    def _choose_displaced(self, group: "SortedKeyList[Entry]", position: int) -> Entry:
+        """Return one of the last entries before a position, by its organisation."""
+        latest: Entry = group[position - 1]
+        if len(self._waiting_by_caller) < 2:
+            return latest
+        most = max(self._waiting_by_caller.values())
+        for entry in reversed(group[max(0, position - COMPARED_ENTRIES) : position]):
+            if self._waiting_by_caller.get(entry.caller) == most:
+                found: Entry = entry
+                return found
+        return latest
+
     def _make_error(self, kind: ErrorKind, now: float) -> CallError:
         wait_ms = int(self._estimate_wait_ms(now))
         return CallError(kind=kind, retry_after_ms=max(MIN_RETRY_AFTER_MS, wait_ms))
--- a/src/pimentoscale/forwarding/entries.py
+++ b/src/pimentoscale/forwarding/entries.py
@@ -11,7 +11,9 @@
 LIMIT_ALGORITHM = "aimd"
 # Added to the importance of targets' calls, so that they take precedence over requests
 # of callers of any importance.
-INNER_IMPORTANCE = 10_000
+INNER_IMPORTANCE = 100_000_000
+# An organisation's rank goes before the importance of a route, which is below this.
+RANK_IMPORTANCE = 10_000
 # Only this node sends to the target, so a target that sheds while it runs fewer
 # requests than its slots is not full: it fails part of its work. The limit is never cut
 # below this share of the slots.
@@ -41,7 +43,7 @@
 
 def make_entry(request: ForwardRequest, *, now: float) -> Entry:
     """Return the entry of a request in the queue of its target."""
-    importance = request.importance
+    importance = request.importance + RANK_IMPORTANCE * request.organisation_rank
     due = _get_due(request, now=now)
     start_by = now + (due - now) * RATE_WAIT_SHARE
     if request.is_inner:
@@ -49,7 +51,7 @@
         start_by = due
     return Entry(
         request=request.identity,
-        caller="",
+        caller=request.organisation,
         kind=request.route,
         importance=importance,
         length=Length.SHORT,
--- a/src/pimentoscale/forwarding/exchange.py
+++ b/src/pimentoscale/forwarding/exchange.py
@@ -121,7 +121,8 @@
     that a target makes for a request already admitted; `was_refused` a caller that was
     refused before and retries. `suspended_s` is how long the machine had been suspended
     when this node received the request: that clock stands still meanwhile, while the
-    sender's goes on. `organisation` is that of the caller, empty if there is none.
+    sender's goes on. `organisation` is that of the caller, empty if there is none,
+    and `organisation_rank` its place among all by importance.
     `stated` is what the sending node has heard of the target, None if it has heard of
     no limit. `is_handed_over` tells that this node has sent the request to a target or
     to the node beside one in the attempt in progress.
@@ -139,6 +140,7 @@
     message: HttpRequest
     suspended_s: float
     organisation: str = ""
+    organisation_rank: int = 0
     stated: StatedCondition | None = None
     is_handed_over: bool = False
 
--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -211,10 +211,9 @@
             own_service = upstream.service
         name = organisation.name if organisation is not None else ""
         table = self._state.table
-        sender = Sender(
-            organisation=name,
-            hides_key=table is not None and table.organisations is not None,
-        )
+        registry = table.organisations if table is not None else None
+        rank = registry.get_rank(organisation) if registry is not None else 0
+        sender = Sender(organisation=name, hides_key=registry is not None)
         message = HttpRequest(
             method=request.method,
             path=request.path,
@@ -237,6 +236,7 @@
             objective_s=min(route.objective_s, route.timeout_s),
             suspended_s=read_suspended_s(),
             organisation=name,
+            organisation_rank=rank,
             message=message,
         )
 
--- a/src/pimentoscale/forwarding/frames.py
+++ b/src/pimentoscale/forwarding/frames.py
@@ -43,6 +43,8 @@
         path=message.path,
         lines=message.encoded_headers,
         body=message.body,
+        organisation=request.organisation,
+        organisation_rank=request.organisation_rank,
         rate_limit=_encode_rate(stated),
         upstream=stated.upstream if stated and is_limited else "",
     )
@@ -71,6 +73,8 @@
             encoded_headers=frame.lines,
             body=frame.body,
         ),
+        organisation=frame.organisation,
+        organisation_rank=frame.organisation_rank,
         stated=stated,
     )
 
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -37,6 +37,7 @@
     UpstreamRegistration,
 )
 from pimentoscale.memory import MemoryAccount
+from pimentoscale.organisations import MAX_RANK
 
 # A request that is not idempotent can't be retried, so it uses a connection only if
 # that was in use within this time: the target may close an idle one just as the request
@@ -207,6 +208,8 @@
         if not self._root_limiter.try_start(
             request.route,
             was_refused=request.was_refused,
+            organisation=request.organisation,
+            rank=request.organisation_rank / MAX_RANK if request.organisation else 1.0,
         ):
             error = CallError(
                 kind=ErrorKind.OVERLOADED,
@@ -218,7 +221,7 @@
             attempt = await self._run_admitted(request)
             return self._add_load(attempt)
         finally:
-            self._root_limiter.end(request.route)
+            self._root_limiter.end(request.route, organisation=request.organisation)
 
     def estimate_run_s(self, route: str, *, now: float) -> float:
         """Return how long a request of a route is expected to run here."""
--- a/src/pimentoscale/organisations/__init__.py
+++ b/src/pimentoscale/organisations/__init__.py
@@ -11,6 +11,7 @@
     get_usable_age_s,
 )
 from pimentoscale.organisations.registry import (
+    MAX_RANK,
     Organisation,
     OrganisationRegistry,
     RegistryBuilder,
@@ -18,6 +19,7 @@
 
 __all__ = [
     "ANONYMOUS",
+    "MAX_RANK",
     "Access",
     "AccessPolicy",
     "Confirmation",
--- a/src/pimentoscale/organisations/registry.py
+++ b/src/pimentoscale/organisations/registry.py
@@ -3,6 +3,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+# The rank of the most important organisations.
+MAX_RANK = 1000
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Organisation:
@@ -34,6 +37,21 @@
     limited: dict[str, Organisation] = field(default_factory=dict)
     ambiguous_keys: frozenset[bytes] = frozenset()
     is_complete: bool = True
+    _ranks: dict[int, int] = field(init=False, default_factory=dict)
+
+    def __post_init__(self) -> None:
+        values = sorted({item.importance for item in self.by_name.values()})
+        for index, value in enumerate(values, start=1):
+            self._ranks[value] = MAX_RANK * index // len(values)
+
+    def get_rank(self, organisation: Organisation | None) -> int:
+        """Return the place of an organisation's importance among all, to `MAX_RANK`.
+
+        It is 0 for a sender of no organisation.
+        """
+        if organisation is None:
+            return 0
+        return self._ranks[organisation.importance]
 
     def find(self, key: bytes) -> Organisation | None:
         """Return the organisation that holds a key, or None."""
--- a/src/pimentoscale/stream/frames.py
+++ b/src/pimentoscale/stream/frames.py
@@ -225,10 +225,11 @@
 
     `timeout_ms` is the time left until the request's deadline. `inner` marks a call
     that a target makes while it runs an admitted request, `returning` a caller that
-    was refused before and tries again. `lines` are the encoded headers. `rate_limit`
-    is the limit, in thousandths of a request a second, that the sender has heard of
-    from the start `upstream` of the receiver's target; `upstream` is empty if it has
-    heard of none.
+    was refused before and tries again. `lines` are the encoded headers. `organisation`
+    is that of the caller, and `organisation_rank` its importance among all.
+    `rate_limit` is the limit, in thousandths of a request a second, that the sender has
+    heard of from the start `upstream` of the receiver's target; `upstream` is empty if
+    it has heard of none.
     """
 
     query: int
@@ -245,6 +246,8 @@
     path: bytes
     lines: bytes
     body: bytes
+    organisation: str = ""
+    organisation_rank: int = 0
     rate_limit: int = 0
     upstream: str = ""
 
