--- a/src/pimentoscale/admission/root_limiter.py
+++ b/src/pimentoscale/admission/root_limiter.py
@@ -50,7 +50,7 @@
 REFUSED_CALLER_FACTOR = 1.25
 # From this part of a limit on, an organisation may use an even part of it only, and
 # with less than that it may go beyond the limit by a part: requests come by chance.
-SHARED_FROM = 0.9
+SHARED_FROM = 0.85
 EVEN_PART_EXCESS = 0.25
 # The part of a limit that the least important organisations leave to the others.
 RANK_RESERVE = 0.1
