--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -134,7 +134,10 @@
             over_quota = self._gate.admit(organisation, now=now)
             if over_quota is not None:
                 return self._responses.build_error(
-                    over_quota, forward.identity, forward.route
+                    over_quota,
+                    forward.identity,
+                    forward.route,
+                    organisation=organisation.name,
                 )
         history = AttemptHistory()
         try:
--- a/src/pimentoscale/forwarding/responses.py
+++ b/src/pimentoscale/forwarding/responses.py
@@ -16,17 +16,23 @@
 RETRY_STATUSES = (REFUSED_STATUS, 429)
 MIN_SERVER_ERROR = 500
 
+# Organisations that a node counts one by one; the others are counted together.
+MAX_ORGANISATIONS = 50
+OTHER_ORGANISATIONS = "(others)"
+
 log = get_logger("entry")
 
 
 class ResponseBuilder:
     """Builds the responses of an entry node, and logs and counts each of them."""
 
-    __slots__ = ("_rng", "_state")
+    __slots__ = ("_organisations", "_rng", "_state")
 
     def __init__(self, *, state: SidecarState, rng: random.Random) -> None:
         self._state = state
         self._rng = rng
+        # Organisations with a label of their own in the metrics.
+        self._organisations: set[str] = set()
 
     def build(
         self,
@@ -60,11 +66,21 @@
         if history.may_have_run and ANSWERS[error.kind].status == REFUSED_STATUS:
             error = CallError(kind=ErrorKind.UPSTREAM_FAILED, detail=error.kind.value)
         return self.build_error(
-            error, forward.identity, forward.route, ran_nowhere=not history.may_have_run
+            error,
+            forward.identity,
+            forward.route,
+            ran_nowhere=not history.may_have_run,
+            organisation=forward.organisation,
         )
 
     def build_error(
-        self, error: CallError, identity: str, route: str, *, ran_nowhere: bool = True
+        self,
+        error: CallError,
+        identity: str,
+        route: str,
+        *,
+        ran_nowhere: bool = True,
+        organisation: str = "",
     ) -> HttpResponse:
         """Return the response to a request that no target has answered."""
         row = ANSWERS[error.kind]
@@ -77,12 +93,15 @@
             wait_s = base_s * self._rng.uniform(1, 1 + RETRY_JITTER)
             headers.append((b"retry-after", f"{wait_s:.2f}".encode()))
         self._state.metrics.count("errors", error.kind.value)
+        if organisation:
+            self._count_organisation(organisation, error.kind.value)
         log.info(
-            "answered %d: %s %s route=%s version=%d",
+            "answered %d: %s %s route=%s organisation=%s version=%d",
             status,
             error.kind.value,
             error.detail,
             route,
+            organisation,
             self._state.version,
             request=identity,
         )
@@ -90,6 +109,14 @@
             status=status, headers=headers, body=row.text.encode() + b"\n"
         )
 
+    def _count_organisation(self, organisation: str, outcome: str) -> None:
+        """Count a request of an organisation; those beyond a number share a label."""
+        if organisation not in self._organisations:
+            if len(self._organisations) >= MAX_ORGANISATIONS:
+                organisation = OTHER_ORGANISATIONS
+            self._organisations.add(organisation)
+        self._state.metrics.count("organisation_requests", f"{organisation} {outcome}")
+
     def _record_response(
         self,
         forward: ForwardRequest,
@@ -101,9 +128,11 @@
     ) -> None:
         """Count and log the response of a target."""
         self._state.metrics.count("answers", str(response.status))
+        if forward.organisation:
+            self._count_organisation(forward.organisation, "answered")
         log.info(
             "answered %d: at=%s route=%s inner=%s run_ms=%.0f total_ms=%.0f "
-            "left_ms=%.0f offers=%d version=%d",
+            "left_ms=%.0f offers=%d organisation=%s version=%d",
             response.status,
             ",".join(history.nodes),
             forward.route,
@@ -112,6 +141,7 @@
             (now - started) * 1000,
             (forward.deadline - now) * 1000,
             len(history.nodes),
+            forward.organisation,
             self._state.version,
             request=forward.identity,
         )
