Send keys in the soak and take them away

Cause: the soak played no organisations. Change: all callers send keys; fault withdraw takes one away, and a request that runs although it was sent 4 s after the acknowledgement is a breach.

--- a/src/pimentoscale_bench/soak/callers.py
+++ b/src/pimentoscale_bench/soak/callers.py
@@ -13,6 +13,7 @@
 )
 from pimentoscale.settings import Address
 from pimentoscale_bench.soak.deployment import (
+    USUAL_KEY,
     SoakDeployment,
     SoakNode,
     is_answer_intact,
@@ -26,6 +27,8 @@
 # recorded and does not count as lost.
 DEADLINE_MARGIN_S = 1.0
 MEAN_PAUSE_S = 0.1
+# Share of the requests with a key that may have been taken away.
+LEAVING_SHARE = 0.2
 ROUTES = ("a", "b", "c", "once")
 
 
@@ -81,6 +84,9 @@
         loop = asyncio.get_running_loop()
         self.sent += 1
         route = self.rng.choice(ROUTES)
+        key = USUAL_KEY
+        if self.rng.random() < LEAVING_SHARE:
+            key = self.rng.choice(self.deployment.leaving_keys[-2:])
         now = loop.time()
         exchange = Exchange(
             identity=f"{self.name}-{self.sent}",
@@ -88,6 +94,7 @@
             is_idempotent=route != "once",
             sent_at=now,
             deadline=now + DEADLINE_S,
+            key=key,
         )
         path = f"/{route}/{exchange.identity}"
         request = make_request(
@@ -95,6 +102,7 @@
             identity=exchange.identity,
             method=b"GET" if exchange.is_idempotent else b"POST",
             remaining_ms=int(DEADLINE_S * 1000),
+            key=key,
         )
         self.deployment.record.exchanges.append(exchange)
         try:
--- a/src/pimentoscale_bench/soak/deployment.py
+++ b/src/pimentoscale_bench/soak/deployment.py
@@ -23,7 +23,7 @@
 from pimentoscale.platform.settings import SETTINGS_VARIABLE
 from pimentoscale.settings import Address
 from pimentoscale_bench.relay import Relay
-from pimentoscale_bench.soak.record import SoakRecord
+from pimentoscale_bench.soak.record import REVOCATION_S, SoakRecord
 from pimentoscale_bench.target import StandInTarget
 
 SERVICES = ("a", "b", "c")
@@ -45,6 +45,9 @@
 # The runs of a target take these times, most of them the shorter ones.
 RUN_S = (0.01, 1.5)
 GRACE_S = 6.0
+# The key of most requests, and the organisations' limit, which no soak reaches.
+USUAL_KEY = "usual"
+RATE_PER_S = 100_000
 # Each node of this many has a short grace period.
 SHORT_GRACE_S = 3.0
 SHORT_GRACE_PERIOD = 4
@@ -95,7 +98,8 @@
             f"application_address={self.upstream.listen}",
             f"service={self.service}",
             f"platform.address={self.store.listen}",
-            f"bounds=grace_s={self.grace_s},budget_ratio=0.2,budget_window_s=10",
+            f"bounds=grace_s={self.grace_s},budget_ratio=0.2,budget_window_s=10,"
+            f"strict_revocation=true,revoke_s={REVOCATION_S},quota_window_s=5",
         ]
         return "\n".join(lines) + "\n"
 
@@ -106,7 +110,8 @@
 
     `subnet` is the second byte of all loopback addresses; concurrent runs need
     different ones. `routes` and `version` are the newest configuration. The run times
-    of requests are drawn from `seed`.
+    of requests are drawn from `seed`. Of `leaving_keys` the last one is valid, the
+    others were taken away.
     """
 
     folder: Path
@@ -118,6 +123,7 @@
     targets: list[StandInTarget] = field(default_factory=list)
     routes: list[dict[str, Any]] = field(default_factory=list)
     version: int = 0
+    leaving_keys: list[str] = field(default_factory=lambda: ["leaving-0"])
     store_process: "subprocess.Popen[bytes] | None" = None
 
     @property
@@ -176,6 +182,10 @@
             "services": services,
             "limits": limits,
             "hosts": [{"host": HOST_NAME, "paths": self.routes}],
+            "tenants": [
+                _make_organisation("usual", USUAL_KEY),
+                _make_organisation("leaving", self.leaving_keys[-1]),
+            ],
         }
         value = b"\x06config" + json.dumps(document).encode()
         body = len(value).to_bytes(4, "big") + value
@@ -192,6 +202,12 @@
         self.routes.append(_make_route(name, service))
         return name
 
+    def renew_key(self) -> str:
+        """Take a key away with the next version, for a new one; return it."""
+        old = self.leaving_keys[-1]
+        self.leaving_keys.append(f"leaving-{len(self.leaving_keys)}")
+        return old
+
     def start_node(self, node: SoakNode) -> None:
         """Start a node's process."""
         path = self.folder / f"{node.name}.conf"
@@ -338,8 +354,17 @@
     }
 
 
+def _make_organisation(name: str, key: str) -> dict[str, Any]:
+    return {"name": name, "keys": [key], "rate_per_s": RATE_PER_S, "burst": RATE_PER_S}
+
+
 def make_request(
-    *, path: str, identity: str, method: bytes, remaining_ms: int
+    *,
+    path: str,
+    identity: str,
+    method: bytes,
+    remaining_ms: int,
+    key: str = USUAL_KEY,
 ) -> HttpRequest:
     """Return a caller's request; a POST request has the identity as its body."""
     return HttpRequest(
@@ -349,6 +374,7 @@
             (b"host", HOST_NAME.encode()),
             (b"attempt-id", identity.encode()),
             (b"deadline-remaining-ms", str(remaining_ms).encode()),
+            (b"authorization", f"Token {key}".encode()),
         ],
         body=identity.encode() if method == b"POST" else b"",
     )
--- a/src/pimentoscale_bench/soak/faults.py
+++ b/src/pimentoscale_bench/soak/faults.py
@@ -20,6 +20,7 @@
     change_configuration,
     degrade_store,
     return_older_copy,
+    withdraw_key,
 )
 from pimentoscale_bench.soak.target_faults import (
     drain_target,
@@ -48,4 +49,5 @@
     "leave": leave_target,
     "forget": forget_departure,
     "drill": return_older_copy,
+    "withdraw": withdraw_key,
 }
--- a/src/pimentoscale_bench/soak/record.py
+++ b/src/pimentoscale_bench/soak/record.py
@@ -23,6 +23,8 @@
 # An answer reaches its caller within this time of the end of the run, though the soak
 # delays connections on both sides.
 DELIVERY_S = 1.0
+# No request runs that was sent later than this after its key was taken away.
+REVOCATION_S = 4.0
 # After the grace period, the node is killed within this time (the users' bound).
 AFTER_GRACE_S = 1.0
 
@@ -40,6 +42,7 @@
     is_idempotent: bool
     sent_at: float
     deadline: float
+    key: str = ""
     ended_at: float = 0.0
     status: int = 0
     is_signed: bool = False
@@ -92,7 +95,8 @@
     """All that is checked at the end of a soak; times are those of the event loop.
 
     `runs` counts the runs of each request at the targets, and `timed_runs` holds them
-    with their times; `breaches` are those found while the soak ran.
+    with their times; `breaches` are those found while the soak ran. `withdrawn` holds
+    when the store acknowledged that a key is taken away.
     """
 
     exchanges: list[Exchange] = field(default_factory=list)
@@ -102,6 +106,7 @@
         default_factory=lambda: defaultdict(list)
     )
     breaches: list[str] = field(default_factory=list)
+    withdrawn: dict[str, float] = field(default_factory=dict)
 
     @contextmanager
     def track_disturbance(
@@ -179,6 +184,12 @@
         runs = self.runs[exchange.identity]
         if runs > 1 and not exchange.is_idempotent:
             yield f"{exchange.identity} at {exchange.node} ran {runs} times"
+        withdrawn_at = self.withdrawn.get(exchange.key, math.inf)
+        if runs and exchange.sent_at > withdrawn_at + REVOCATION_S:
+            yield (
+                f"{exchange.identity} at {exchange.node} ran with a key taken away "
+                f"{exchange.sent_at - withdrawn_at:.3f} s before"
+            )
         if exchange.status in REFUSED_STATUSES and runs:
             yield (
                 f"{exchange.identity} at {exchange.node} was refused with "
--- a/src/pimentoscale_bench/soak/store_faults.py
+++ b/src/pimentoscale_bench/soak/store_faults.py
@@ -62,6 +62,11 @@
     except httpx.HTTPError as error:
         # Another fault of the store; the next version is written anyway.
         return f"{detail}, configuration not written again: {error!r}"
+    # A node that never saw that a key is taken away can't know before.
+    withdrawn = deployment.record.withdrawn
+    for key, at in withdrawn.items():
+        if at >= drill.began - MAX_LOST_S:
+            withdrawn[key] = get_now()
     return f"{detail}, {await _add_route(context, apart_from=drill)}"
 
 
@@ -70,6 +75,18 @@
     return await _add_route(context)
 
 
+async def withdraw_key(context: FaultContext) -> str:
+    """Take a key away; no request that is sent with it after the bound may run."""
+    deployment = context.deployment
+    key = deployment.renew_key()
+    try:
+        await deployment.configure()
+    except httpx.HTTPError as error:
+        return f"{key} not acknowledged as taken away: {error!r}"
+    deployment.record.withdrawn[key] = get_now()
+    return key
+
+
 async def _add_route(
     context: FaultContext, *, apart_from: Disturbance | None = None
 ) -> str:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -46,6 +46,7 @@
 ) -> list[str]:
     record = SoakRecord(exchanges=[exchange], disturbances=disturbances or [])
     record.runs["x"] = runs
+    record.withdrawn["withdrawn"] = 10.0
     return record.find_breaches()
 
 
@@ -62,6 +63,10 @@
         ({"status": 0}, 0, 1),
         ({"status": 0}, 1, 1),
         ({"is_intact": False}, 1, 1),
+        ({"key": "withdrawn", "sent_at": 14.1}, 1, 1),
+        ({"key": "withdrawn", "sent_at": 14.1, "status": 401}, 0, 0),
+        ({"key": "withdrawn", "sent_at": 13.9}, 1, 0),
+        ({"key": "other", "sent_at": 14.1}, 1, 0),
     ],
 )
 def test_breach_of_a_guarantee_is_found(
