Learn how much a target takes well

Cause: the limit beside a target follows its declared slots and its refusals only; one that slows down long before it is full keeps all of them. Change: limit algorithm learned, by own work told apart from calls, with a baseline measured at light use; switched on by PIMENTOSCALE_UPSTREAM_LIMIT. Off by default: deployments are served as before.

--- a/src/pimentoscale/admission/__init__.py
+++ b/src/pimentoscale/admission/__init__.py
@@ -8,6 +8,7 @@
     Load,
     Verdict,
 )
+from pimentoscale.admission.learned_limit import LearnedLimit
 from pimentoscale.admission.limit_algorithms import (
     LimitAlgorithm,
     Sample,
@@ -25,6 +26,7 @@
     "Decision",
     "Dequeued",
     "Entry",
+    "LearnedLimit",
     "Length",
     "LimitAlgorithm",
     "Load",
--- a/src/pimentoscale/admission/limit_algorithms.py
+++ b/src/pimentoscale/admission/limit_algorithms.py
@@ -13,12 +13,16 @@
 
 
 class Sample(msgspec.Struct, kw_only=True, frozen=True):
-    """The measurements of one ended call; `in_flight` includes the call itself."""
+    """The measurements of one ended call; `in_flight` includes the call itself.
+
+    `calls` is how many calls of the upstream to other services are in progress.
+    """
 
     kind: str
     service_ms: float
     in_flight: int
     is_overload: bool
+    calls: int = 0
 
 
 class LimitAlgorithm(Protocol):
--- a/src/pimentoscale/admission/urgency.py
+++ b/src/pimentoscale/admission/urgency.py
@@ -9,6 +9,7 @@
 """
 
 from collections import Counter
+from collections.abc import Callable
 
 from sortedcontainers import SortedDict, SortedKeyList
 
@@ -69,6 +70,7 @@
 
     `running` is the number of running requests, `slowdown` what the upstream tells
     about the speed of its work, and `rate_limit` the rate of requests that it states.
+    `count_calls` returns how many calls of the upstream are in progress.
     """
 
     __slots__ = (
@@ -78,6 +80,7 @@
         "_run_times",
         "_waiting",
         "_waiting_by_caller",
+        "count_calls",
         "rate_limit",
         "running",
         "slowdown",
@@ -91,6 +94,7 @@
         self._waiting_by_caller: Counter[str] = Counter()
         self._backlog_ms = 0.0
         self.running = 0
+        self.count_calls: Callable[[], int] = lambda: 0
         self.slowdown = SlowdownEstimate()
         self.rate_limit = StatedRateLimit()
 
@@ -151,6 +155,7 @@
             service_ms=run_ms,
             in_flight=self.running + 1,
             is_overload=is_overload,
+            calls=self.count_calls(),
         )
         self._algorithm.observe(sample, now=now)
         return self.start_waiting(now=now)
--- a/src/pimentoscale/forwarding/entries.py
+++ b/src/pimentoscale/forwarding/entries.py
@@ -8,7 +8,7 @@
 )
 from pimentoscale.forwarding.exchange import ForwardRequest
 
-LIMIT_ALGORITHM = "aimd"
+DEFAULT_LIMIT_ALGORITHM = "aimd"
 # Added to the importance of targets' calls, so that they take precedence over requests
 # of callers of any importance.
 INNER_IMPORTANCE = 100_000_000
@@ -34,11 +34,16 @@
     return max(1, int(slots * USED_SLOTS_SHARE))
 
 
-def make_target_limit(slots: int) -> LimitAlgorithm:
-    """Return the limit of concurrent requests at a target."""
+def make_target_limit(
+    slots: int, *, algorithm: str = DEFAULT_LIMIT_ALGORITHM
+) -> LimitAlgorithm:
+    """Return the limit of concurrent requests at a target.
+
+    Raises `KeyError` for an unknown algorithm.
+    """
     usable = get_usable_slots(slots)
     min_limit = max(1, min(usable, int(slots * MIN_LIMIT_SHARE)))
-    return make_limit_algorithm(name=LIMIT_ALGORITHM, slots=usable, min_limit=min_limit)
+    return make_limit_algorithm(name=algorithm, slots=usable, min_limit=min_limit)
 
 
 def make_entry(request: ForwardRequest, *, now: float) -> Entry:
--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -72,14 +72,19 @@
         # Version of the routes and number of caller routes at the last update.
         self._importance_range_key = (0, 0)
         self.in_progress = 0
+        # Those that the local target sent while it runs others.
+        self.calls_in_progress = 0
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to a request, from a target or for an error."""
         self.in_progress += 1
+        is_call = self.origins.is_call_connection(request.connection_id)
+        self.calls_in_progress += is_call
         try:
             return await self._handle(request)
         finally:
             self.in_progress -= 1
+            self.calls_in_progress -= is_call
 
     def may_run_ahead(self, request: HttpRequest) -> bool:
         """Return whether a request may run before earlier ones have been answered."""
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -8,6 +8,7 @@
 
 from result import Result
 
+from pimentoscale.admission import LearnedLimit
 from pimentoscale.forwarding.confirmations import Confirmations
 from pimentoscale.forwarding.copies import RecordCopies, decode_held
 from pimentoscale.forwarding.exchange import Messages
@@ -232,6 +233,7 @@
         self.target.knows_service = self._knows_service
         self.target.get_rank = self.forwarder.get_rank
         self.target.count_calls = self.forwarder.origins.count_inner
+        self.target.count_calls_with(lambda: self.forwarder.calls_in_progress)
         self.target.limit_deadline = self.state.shutdown.limit_deadline
         self.forwarder.origins.on_caller_route = self._share_caller_route
         self.registry.on_caller_route = self._add_caller_route
@@ -471,9 +473,13 @@
             "streams_up": self.links.count_up(),
             "members": len(self.state.members),
             "held_bytes": self.account.held,
+            "target_limit": self.target.limit.get_limit(),
             "store_answer_age_seconds": self._get_store_age_s(),
             "store_era": self._store.era,
         }
+        if isinstance(self.target.limit, LearnedLimit):
+            values["target_speed"] = self.target.limit.speed
+            values["target_speed_baseline"] = self.target.limit.baseline or 0.0
         for watcher in self._watchers:
             name = watcher.topic.rpartition(".")[2]
             values[f"store_answer_age_seconds_{name}"] = _get_age_s(
@@ -555,6 +561,7 @@
         self.links.close_idle(now=now)
         self.target.close_idle(now=now)
         self.target.log_rate(now=now)
+        self.target.log_limit(now=now)
         self._share_degraded_route(now)
         # The number of members sets this node's part of the retry slack.
         self.forwarder.apply_settings()
--- a/src/pimentoscale/forwarding/origins.py
+++ b/src/pimentoscale/forwarding/origins.py
@@ -111,6 +111,10 @@
             return False
         return connection not in self._caller_connections
 
+    def is_call_connection(self, connection: int) -> bool:
+        """Return whether a connection was not identified as a caller's."""
+        return connection not in self._caller_connections
+
     def count_inner(self) -> int:
         """Return how many requests may have been calls of the local target."""
         return self._inner_count
--- a/src/pimentoscale/forwarding/settings.py
+++ b/src/pimentoscale/forwarding/settings.py
@@ -17,7 +17,7 @@
     node that is cut off may go on. All nodes together may exceed what an organisation
     is allowed within `quota_window_s` by the share `quota_overage`, and by
     `quota_slack` requests. The process may take `memory_mb` and `file_descriptors`; 0
-    is no limit.
+    is no limit. `limit_algorithm` names what bounds the requests at the upstream.
     """
 
     instance: str
@@ -41,6 +41,7 @@
     quota_slack: float = 0.0
     memory_mb: int = 0
     file_descriptors: int = 0
+    limit_algorithm: str = "aimd"
 
 
 # Fields that can change while a node runs; the others take effect after a restart.
--- a/src/pimentoscale/forwarding/target.py
+++ b/src/pimentoscale/forwarding/target.py
@@ -4,7 +4,13 @@
 import math
 from collections.abc import Callable
 
-from pimentoscale.admission import Entry, Load, RootRequestLimiter, Slot
+from pimentoscale.admission import (
+    Entry,
+    LimitAlgorithm,
+    Load,
+    RootRequestLimiter,
+    Slot,
+)
 from pimentoscale.errors import CallError, ErrorKind
 from pimentoscale.forwarding.entries import make_entry
 from pimentoscale.forwarding.exchange import (
@@ -81,7 +87,7 @@
         account: MemoryAccount | None = None,
     ) -> None:
         self._messages = messages
-        self._queue = TargetQueue(now=now)
+        self._queue = TargetQueue(algorithm=settings.limit_algorithm, now=now)
         self._root_limiter = RootRequestLimiter(capacity=1)
         self._client = HttpClient(
             address=settings.upstream, limit=DEFAULT_CONNECTIONS, account=account
@@ -169,6 +175,19 @@
         """
         return max(self._deadlines.values(), default=-math.inf)
 
+    @property
+    def limit(self) -> LimitAlgorithm:
+        """Return the limit of what runs at once."""
+        return self._queue.limit
+
+    def count_calls_with(self, count_calls: Callable[[], int]) -> None:
+        """Set what tells how many calls of the upstream are in progress."""
+        self._queue.count_calls_with(count_calls)
+
+    def log_limit(self, *, now: float) -> None:
+        """Log a limit that has changed much since the last line."""
+        self._queue.log_limit(now=now)
+
     def log_rate(self, *, now: float) -> None:
         """Log the rate of sent requests while the upstream states a limit."""
         self._queue.log_rate(now=now)
--- a/src/pimentoscale/forwarding/target_queue.py
+++ b/src/pimentoscale/forwarding/target_queue.py
@@ -1,8 +1,17 @@
 """The requests that wait for the upstream beside this node."""
 
 import asyncio
-
-from pimentoscale.admission import Load, Slot, SlotWaiters, UrgencyAdmission, Verdict
+from collections.abc import Callable
+
+from pimentoscale.admission import (
+    LearnedLimit,
+    LimitAlgorithm,
+    Load,
+    Slot,
+    SlotWaiters,
+    UrgencyAdmission,
+    Verdict,
+)
 from pimentoscale.errors import CallError
 from pimentoscale.forwarding.entries import make_target_limit
 from pimentoscale.forwarding.exchange import TargetAnswer
@@ -12,6 +21,9 @@
 LOAD_LOG_S = 1.0
 # Least time between two log lines about the rate of an upstream that states a limit.
 RATE_LOG_S = 1.0
+# Least time between two log lines about the limit, and the change that one tells.
+LIMIT_LOG_S = 1.0
+LIMIT_LOG_SHARE = 0.2
 
 log = get_logger("target")
 
@@ -24,8 +36,12 @@
 
     __slots__ = (
         "_admission",
+        "_algorithm",
         "_idle_since",
+        "_limit",
+        "_limit_logged_at",
         "_load_fault_logged_at",
+        "_logged_limit",
         "_rate_logged_at",
         "_rate_logged_count",
         "_slots",
@@ -34,9 +50,13 @@
         "_waiters",
     )
 
-    def __init__(self, *, now: float) -> None:
+    def __init__(self, *, algorithm: str, now: float) -> None:
         self._slots = 0
-        self._admission = UrgencyAdmission(algorithm=make_target_limit(1))
+        self._algorithm = algorithm
+        self._limit = make_target_limit(1, algorithm=algorithm)
+        self._logged_limit = 0.0
+        self._limit_logged_at = now
+        self._admission = UrgencyAdmission(algorithm=self._limit)
         self._waiters = SlotWaiters(admission=self._admission)
         self._idle_since = now
         self._load_fault_logged_at = -LOAD_LOG_S
@@ -57,9 +77,39 @@
         """Return the requests a second that the upstream takes, None if no limit."""
         return self._admission.rate_limit.stated
 
+    @property
+    def limit(self) -> LimitAlgorithm:
+        """Return the limit of what runs at once."""
+        return self._limit
+
+    def count_calls_with(self, count_calls: Callable[[], int]) -> None:
+        """Set what tells how many calls of the upstream are in progress."""
+        self._admission.count_calls = count_calls
+
+    def log_limit(self, *, now: float) -> None:
+        """Log a limit that has changed much since the last line."""
+        limit = self._limit.get_limit()
+        change = abs(limit - self._logged_limit)
+        is_early = now - self._limit_logged_at < LIMIT_LOG_S
+        if is_early or change < LIMIT_LOG_SHARE * self._logged_limit:
+            return
+        learned = self._limit if isinstance(self._limit, LearnedLimit) else None
+        log.info(
+            "limit of the upstream: %.0f before=%.0f slots=%d running=%d learned=%s",
+            limit,
+            self._logged_limit,
+            self._slots,
+            self._admission.running,
+            learned.describe() if learned is not None else None,
+        )
+        self._logged_limit = limit
+        self._limit_logged_at = now
+
     def set_slots(self, slots: int, *, now: float) -> None:
         """Set how many requests the upstream runs at once."""
-        self._admission.set_limit_algorithm(make_target_limit(slots))
+        self._limit = make_target_limit(slots, algorithm=self._algorithm)
+        self._logged_limit = self._limit.get_limit()
+        self._admission.set_limit_algorithm(self._limit)
         self._slots = slots
         self._waiters.start_waiting(now=now)
 
--- a/src/pimentoscale/programs/sidecar.py
+++ b/src/pimentoscale/programs/sidecar.py
@@ -8,6 +8,7 @@
 import random
 import signal
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 from result import Err, Ok
@@ -36,6 +37,9 @@
 from pimentoscale.programs.ending import run_to_exit
 
 EXIT_BAD_SETTINGS = 2
+# Names the limit of the requests at the upstream: one of these, the first by default.
+LIMIT_VARIABLE = "PIMENTOSCALE_UPSTREAM_LIMIT"
+LIMITS = ("aimd", "learned")
 # Operators expect a change of the settings file to take effect within seconds.
 SETTINGS_POLL_S = 1.0
 
@@ -136,6 +140,14 @@
                 print(fault, file=sys.stderr)
             sys.exit(EXIT_BAD_SETTINGS)
         case Ok(settings):
+            limit = os.environ.get(LIMIT_VARIABLE) or LIMITS[0]
+            if limit not in LIMITS:
+                allowed = ", ".join(LIMITS)
+                print(
+                    f"{LIMIT_VARIABLE}={limit!r}: allowed: {allowed}", file=sys.stderr
+                )
+                sys.exit(EXIT_BAD_SETTINGS)
+            settings = replace(settings, limit_algorithm=limit)
             run_to_exit(serve(settings, path, file_state=file_state))
 
 
