--- a/benchmarks/bench_decisions.py
+++ b/benchmarks/bench_decisions.py
@@ -9,6 +9,13 @@
 
 from pimentoscale.admission import Admission, Entry, Length, make_limit_algorithm
 from pimentoscale.configuration import Policy
+from pimentoscale.limits import QuotaGate
+from pimentoscale.organisations import (
+    AccessPolicy,
+    Organisation,
+    OrganisationRegistry,
+    RegistryBuilder,
+)
 from pimentoscale.routing import ChoiceRequest, Target, make_choice
 
 # Ratio of the logarithms of the two queue lengths compared: log(10_000) / log(10).
@@ -80,3 +87,39 @@
         lambda: offer_and_withdraw(short)
     )
     assert ratio <= MAX_COST_RATIO
+
+
+def make_registry(keys: int) -> OrganisationRegistry:
+    builder = RegistryBuilder()
+    for number in range(keys):
+        name = f"organisation-{number}"
+        organisation = Organisation(name=name, importance=1, rate_limit=1e9, burst=1e9)
+        builder.add(organisation, [f"key-{number}"])
+    return builder.build()
+
+
+@pytest.mark.parametrize("keys", [80, 8_000, 80_000])
+def bench_key_look_up_and_quota_check(benchmark: BenchmarkFixture, keys: int) -> None:
+    registry = make_registry(keys)
+    policy = AccessPolicy(revocation_s=5.0)
+    policy.confirmation.record(0.0)
+    gate = QuotaGate(phase=0.5)
+    gate.apply_shares({}, now=0.0)
+
+    def decide() -> None:
+        access = policy.check(
+            registry, b"key-7", is_public=False, is_call=False, now=1.0
+        )
+        assert access.organisation is not None
+        assert gate.admit(access.organisation, now=1.0) is None
+
+    benchmark(decide)
+
+
+def bench_cost_of_a_key_does_not_grow_with_their_number() -> None:
+    registries = [make_registry(80), make_registry(80_000)]
+    few, many = [
+        measure_s(lambda registry=registry: registry.find(b"key-7"))  # type: ignore[misc]
+        for registry in registries
+    ]
+    assert many <= MAX_COST_RATIO * few
