--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -66,7 +66,7 @@
 MEMBERS_WAIT_MS = 25_000
 
 # Requests of the platform to a node: the size of a body, and the connections.
-SMALL_BODY_BYTES = 64 * 1024
+SMALL_BODY_BYTES = 128 * 1024
 SMALL_CONNECTIONS = 64
 # Descriptors that are not for sockets, and the part of the others that is for callers;
 # the rest is for other nodes and the target.
@@ -113,6 +113,7 @@
         self.state = SidecarState(
             settings=settings, incarnation=rng.getrandbits(INCARNATION_BITS)
         )
+        self.state.access.revocation_s = settings.revocation_s
         self._handle_announcement = handle_announcement
         self._store = store
         self.account = make_account(settings.memory_mb)
--- a/src/pimentoscale/forwarding/state.py
+++ b/src/pimentoscale/forwarding/state.py
@@ -36,10 +36,9 @@
     refuses_callers: bool = False
     shutdown: Shutdown = field(default_factory=Shutdown)
     time_limits: TimeLimits = field(default_factory=TimeLimits)
-    access: AccessPolicy = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.access = AccessPolicy(revocation_s=self.settings.revocation_s)
+    access: AccessPolicy = field(
+        default_factory=lambda: AccessPolicy(revocation_s=None)
+    )
 
     @property
     def version(self) -> int:
