Explain where a request would go now, without sending it

Cause: operators saw only afterwards, in the logs, why a request went where it did. Change: pimento explain asks a node's own decisions at its metrics address.

--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -57,13 +57,13 @@
         self._target = target
         self._views = views
         self._rng = rng
-        self._placement = Placement(rng=rng)
+        self.placement = Placement(rng=rng)
         self._attempts = Attempts(
             state=state,
             target=target,
             links=links,
             views=views,
-            placement=self._placement,
+            placement=self.placement,
         )
         self._responses = ResponseBuilder(state=state, rng=rng)
         self._service_splits: dict[str, WeightedRoundRobin] = {}
@@ -194,7 +194,7 @@
         shutdown = self._state.shutdown
         if not shutdown.has_begun:
             return True
-        expected_s = self._placement.averages.get_run_ms(route=forward.route) / 1000
+        expected_s = self.placement.averages.get_run_ms(route=forward.route) / 1000
         if self._state.refuses_callers:
             may_be_call = expires_at <= self._target.last_deadline + CALL_DELAY_S
             if not (forward.is_inner or may_be_call):
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -12,6 +12,7 @@
 from pimentoscale.forwarding.confirmations import Confirmations
 from pimentoscale.forwarding.copies import RecordCopies, decode_held
 from pimentoscale.forwarding.exchange import Messages
+from pimentoscale.forwarding.explanation import Explainer
 from pimentoscale.forwarding.forwarder import Forwarder
 from pimentoscale.forwarding.links import Links
 from pimentoscale.forwarding.quotas import QuotaExchange
@@ -68,6 +69,8 @@
 # Requests of the platform to a node: the size of a body, and the connections.
 SMALL_BODY_BYTES = 128 * 1024
 SMALL_CONNECTIONS = 64
+# Path on the metrics address at which an operator asks about a request.
+EXPLAIN_PATH = b"/explain"
 # Descriptors that are not for sockets, and the part of the others that is for callers;
 # the rest is for other nodes and the target.
 RESERVED_DESCRIPTORS = 200
@@ -180,7 +183,14 @@
         )
         self._readiness = self._make_small_server(self._answer_readiness)
         self._announcements = self._make_small_server(self._answer_announcement)
-        self._metrics = self._make_small_server(self._answer_metrics)
+        self._metrics = self._make_small_server(self._answer_operator)
+        self._explainer = Explainer(
+            state=self.state,
+            views=self.views,
+            placement=self.forwarder.placement,
+            gate=self.quotas.gate,
+            origins=self.forwarder.origins,
+        )
         self.relay = RecordRelay(
             state=self.state,
             links=self.links,
@@ -463,7 +473,14 @@
             self.target, request, now, self.registry.secure_departure
         )
 
-    async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
+    async def _answer_operator(self, request: HttpRequest) -> HttpResponse:
+        """Explain a request for which an operator asks, or return the metrics."""
+        if request.path == EXPLAIN_PATH:
+            now = asyncio.get_running_loop().time()
+            return self._explainer.answer(request, now=now, boot_time=read_boot_time())
+        return self._answer_metrics()
+
+    def _answer_metrics(self) -> HttpResponse:
         metrics = self.state.metrics
         values: dict[str, float] = {
             "routes_version": self.state.version,
--- a/src/pimentoscale/forwarding/placement.py
+++ b/src/pimentoscale/forwarding/placement.py
@@ -256,6 +256,12 @@
                 best, least = view, cost
         return best
 
+    def estimate_ms(
+        self, view: NodeView, request: PlacementRequest, *, now: float
+    ) -> float:
+        """Return the expected time to a node's response, penalties included."""
+        return self._make_estimate(request).estimate_ms(view, now=now)
+
     def _draw(
         self,
         views: Sequence[NodeView],
--- a/src/pimentoscale/programs/operator.py
+++ b/src/pimentoscale/programs/operator.py
@@ -39,6 +39,16 @@
 VERDICT_POLL_S = 0.05
 CONSOLE_WIDTH_COLUMNS = 140
 PATCH_ID_BYTES = 8
+CANDIDATE_COLUMNS = (
+    "instance",
+    "zone",
+    "limit",
+    "in_flight",
+    "queue_ms",
+    "load_age_ms",
+    "expected_ms",
+    "why not",
+)
 EXIT_CODES = {
     Rejection.STALE_BASE.value: 3,
     Rejection.BASE_AHEAD.value: 3,
@@ -82,6 +92,35 @@
         sys.exit(EXIT_BAD_INPUT)
 
 
+@app.command(name="explain")
+def explain_request(
+    host: str,
+    path: str,
+    /,
+    *,
+    node: Node,
+    key_file: Path | None = None,
+    json: Json = False,
+) -> None:
+    """Tell where a request would go now and why, without sending it.
+
+    `node` is the metrics address of a node on the users' platform. The file holds the
+    key of an organisation, which is not printed.
+    """
+    question: dict[str, str] = {"host": host, "path": path}
+    if key_file is not None:
+        try:
+            question["key"] = key_file.read_text(encoding="utf-8").strip()
+        except (OSError, UnicodeDecodeError) as error:
+            print(f"the key can't be read: {error}", file=sys.stderr)
+            sys.exit(EXIT_BAD_INPUT)
+    answer = NodeClient(address=node).post("/explain", question)
+    if json:
+        _print_json(answer)
+        return
+    _print_explanation(answer)
+
+
 @config.command
 def show(*, node: Node, json: Json = False) -> None:
     """Print the configuration in force and its version."""
@@ -306,6 +345,26 @@
     ]
 
 
+def _print_explanation(answer: dict[str, Any]) -> None:
+    console.print(
+        f"{answer['node']}, version {answer['version']}: {answer['verdict']} "
+        f"{answer['detail']}".rstrip()
+    )
+    if answer["route"]:
+        console.print(
+            f"route {answer['route']}, idempotent: {answer['idempotent']}, "
+            f"organisation: {answer['organisation'] or 'none'}, "
+            f"admitted share: {answer['admitted_share']:.2f}"
+        )
+    for service, candidates in answer["candidates"].items():
+        table = Table(*CANDIDATE_COLUMNS, title=f"service {service}")
+        for item in candidates:
+            reasons = [*item["penalties"], item["left_out"]]
+            cells = [str(item[name]) for name in CANDIDATE_COLUMNS[:-1]]
+            table.add_row(*cells, ", ".join(filter(None, reasons)))
+        console.print(table)
+
+
 def _format_events(events: list[Event], output_format: Format) -> str:
     if output_format is Format.HTML:
         return render_timeline(events)
