Split the server's connection and the operator's interface into modules

Change: server_connection.py, operator_interface.py; rate_window_s, rate_overage and rate_slack. No behaviour changes.

--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -8,13 +8,13 @@
 
 from result import Result
 
-from pimentoscale.admission import LearnedLimit
 from pimentoscale.forwarding.confirmations import Confirmations
 from pimentoscale.forwarding.copies import RecordCopies, decode_held
 from pimentoscale.forwarding.exchange import Messages
 from pimentoscale.forwarding.explanation import Explainer
 from pimentoscale.forwarding.forwarder import Forwarder
 from pimentoscale.forwarding.links import Links
+from pimentoscale.forwarding.operator_interface import OperatorInterface
 from pimentoscale.forwarding.quotas import QuotaExchange
 from pimentoscale.forwarding.receiver import Receiver
 from pimentoscale.forwarding.recovery import Recovery
@@ -37,7 +37,6 @@
 )
 from pimentoscale.logs import get_logger
 from pimentoscale.memory import make_account
-from pimentoscale.metrics import Gauge
 from pimentoscale.routes import RouteTable
 from pimentoscale.store import RecordStore, TopicReplica, TopicWatcher
 from pimentoscale.stream import (
@@ -69,8 +68,6 @@
 # Requests of the platform to a node: the size of a body, and the connections.
 SMALL_BODY_BYTES = 128 * 1024
 SMALL_CONNECTIONS = 64
-# Path on the metrics address at which an operator asks about a request.
-EXPLAIN_PATH = b"/explain"
 # Descriptors that are not for sockets, and the part of the others that is for callers;
 # the rest is for other nodes and the target.
 RESERVED_DESCRIPTORS = 200
@@ -183,14 +180,6 @@
         )
         self._readiness = self._make_small_server(self._answer_readiness)
         self._announcements = self._make_small_server(self._answer_announcement)
-        self._metrics = self._make_small_server(self._answer_operator)
-        self._explainer = Explainer(
-            state=self.state,
-            views=self.views,
-            placement=self.forwarder.placement,
-            gate=self.quotas.gate,
-            origins=self.forwarder.origins,
-        )
         self.relay = RecordRelay(
             state=self.state,
             links=self.links,
@@ -233,6 +222,23 @@
                 ),
             )
         ]
+        operator_interface = OperatorInterface(
+            state=self.state,
+            forwarder=self.forwarder,
+            target=self.target,
+            links=self.links,
+            store=store,
+            watchers=self._watchers,
+            account=self.account,
+            explainer=Explainer(
+                state=self.state,
+                views=self.views,
+                placement=self.forwarder.placement,
+                gate=self.quotas.gate,
+                origins=self.forwarder.origins,
+            ),
+        )
+        self._metrics = self._make_small_server(operator_interface.handle)
         self._suspension = SuspensionDetector(now=now, boot_time=read_boot_time())
         self._last_tick = now
         self._tasks: set[asyncio.Task[None]] = set()
@@ -473,43 +479,6 @@
             self.target, request, now, self.registry.secure_departure
         )
 
-    async def _answer_operator(self, request: HttpRequest) -> HttpResponse:
-        """Explain a request for which an operator asks, or return the metrics."""
-        if request.path == EXPLAIN_PATH:
-            now = asyncio.get_running_loop().time()
-            return self._explainer.answer(request, now=now, boot_time=read_boot_time())
-        return self._answer_metrics()
-
-    def _answer_metrics(self) -> HttpResponse:
-        metrics = self.state.metrics
-        values: dict[str, float] = {
-            "routes_version": self.state.version,
-            "requests_in_progress": self.forwarder.in_progress,
-            "target_in_progress": self.target.in_progress,
-            "target_sent_requests": self.target.sent_requests,
-            "target_rate_limit": _get_rate_gauge(self.target.rate_limit),
-            "streams_up": self.links.count_up(),
-            "members": len(self.state.members),
-            "held_bytes": self.account.held,
-            "target_limit": self.target.limit.get_limit(),
-            "store_answer_age_seconds": self._get_store_age_s(),
-            "store_era": self._store.era,
-        }
-        if isinstance(self.target.limit, LearnedLimit):
-            values["target_speed"] = self.target.limit.speed
-            values["target_speed_baseline"] = self.target.limit.baseline or 0.0
-        for watcher in self._watchers:
-            name = watcher.topic.rpartition(".")[2]
-            values[f"store_answer_age_seconds_{name}"] = _get_age_s(
-                watcher.last_answer_at
-            )
-        for kind, calls in self._store.calls.items():
-            values[f"store_calls_{kind}"] = calls
-        for name, value in values.items():
-            metrics.set_gauge(Gauge(name=name, value=value))
-        headers = [(b"content-type", b"text/plain; version=0.0.4")]
-        return HttpResponse(status=200, headers=headers, body=metrics.render())
-
     def _knows_service(self, service: str) -> bool:
         """Return whether the settings or the configuration name a service."""
         table = self.state.table
@@ -518,15 +487,6 @@
             return True
         return service == named or not named
 
-    def _get_store_age_s(self) -> float:
-        """Return how long ago the store last responded; -1 if it never has."""
-        times = [
-            item.last_answer_at
-            for item in self._watchers
-            if item.last_answer_at is not None
-        ]
-        return _get_age_s(max(times, default=None))
-
     def _apply_routes(self, table: RouteTable) -> None:
         limits = self._outgoing.limits
         limits.header_bytes = table.limits.header_bytes
@@ -600,12 +560,4 @@
             log.error("background task failed", exc_info=task.exception())
 
 
-def _get_age_s(at: float | None) -> float:
-    return -1.0 if at is None else asyncio.get_running_loop().time() - at
-
-
-def _get_rate_gauge(rate_limit: float | None) -> float:
-    return -1.0 if rate_limit is None else rate_limit
-
-
 __all__ = ["Sidecar", "StoreTopics"]
--- a/src/pimentoscale/forwarding/quotas.py
+++ b/src/pimentoscale/forwarding/quotas.py
@@ -299,9 +299,9 @@
 
 def _make_bounds(settings: SidecarSettings) -> QuotaBounds:
     return QuotaBounds(
-        window_s=settings.quota_window_s,
-        overage=settings.quota_overage,
-        slack=settings.quota_slack,
+        window_s=settings.rate_window_s,
+        overage=settings.rate_overage,
+        slack=settings.rate_slack,
     )
 
 
--- a/src/pimentoscale/forwarding/settings.py
+++ b/src/pimentoscale/forwarding/settings.py
@@ -15,8 +15,8 @@
     limits the writes, and the `retry_` fields the retries, of all nodes together.
     `revocation_s` is the time after which no node may accept a withdrawn key, None if a
     node that is cut off may go on. All nodes together may exceed what an organisation
-    is allowed within `quota_window_s` by the share `quota_overage`, and by
-    `quota_slack` requests. The process may take `memory_mb` and `file_descriptors`; 0
+    is allowed within `rate_window_s` by the share `rate_overage`, and by
+    `rate_slack` requests. The process may take `memory_mb` and `file_descriptors`; 0
     is no limit. `limit_algorithm` names what bounds the requests at the upstream.
     """
 
@@ -36,9 +36,9 @@
     retry_window_s: float
     retry_slack: float
     revocation_s: float | None = None
-    quota_window_s: float = 0.0
-    quota_overage: float = 0.0
-    quota_slack: float = 0.0
+    rate_window_s: float = 0.0
+    rate_overage: float = 0.0
+    rate_slack: float = 0.0
     memory_mb: int = 0
     file_descriptors: int = 0
     limit_algorithm: str = "aimd"
@@ -53,9 +53,9 @@
         "retry_window_s",
         "retry_slack",
         "revocation_s",
-        "quota_window_s",
-        "quota_overage",
-        "quota_slack",
+        "rate_window_s",
+        "rate_overage",
+        "rate_slack",
     )
 )
 
--- a/src/pimentoscale/http/__init__.py
+++ b/src/pimentoscale/http/__init__.py
@@ -16,12 +16,8 @@
     encode_headers,
     find_header,
 )
-from pimentoscale.http.server import (
-    MAX_CONNECTIONS,
-    Handler,
-    HttpLimits,
-    HttpServer,
-)
+from pimentoscale.http.server import MAX_CONNECTIONS, HttpServer
+from pimentoscale.http.server_connection import Handler, HttpLimits
 
 __all__ = [
     "MAX_CONNECTIONS",
--- a/src/pimentoscale/platform/settings.py
+++ b/src/pimentoscale/platform/settings.py
@@ -65,9 +65,9 @@
         retry_window_s=bounds.get("budget_window_s", 10.0),
         retry_slack=bounds.get("budget_slack", 10.0),
         revocation_s=bounds.get("revoke_s") if is_strict else None,
-        quota_window_s=bounds.get("quota_window_s", 0.0),
-        quota_overage=bounds.get("quota_overage", 0.0),
-        quota_slack=bounds.get("quota_slack", 0.0),
+        rate_window_s=bounds.get("quota_window_s", 0.0),
+        rate_overage=bounds.get("quota_overage", 0.0),
+        rate_slack=bounds.get("quota_slack", 0.0),
         memory_mb=_decode_count(values.get("limits.memory_mb", "")),
         file_descriptors=_decode_count(values.get("limits.file_descriptors", "")),
     )
--- a/tests/test_keys_in_nodes.py
+++ b/tests/test_keys_in_nodes.py
@@ -14,7 +14,7 @@
 from tests.sidecars import Deployment, make_route, run_deployment, wait_until
 
 REVOCATION_S = 2.0
-QUOTA = {"quota_window_s": 5.0, "quota_overage": 0.1, "quota_slack": 20.0}
+QUOTA = {"rate_window_s": 5.0, "rate_overage": 0.1, "rate_slack": 20.0}
 ROUTES = [make_route("rb", "b"), make_route("pub", "b", public=True)]
 NAMES = ["m0", "m1", "m2"]
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pimentoscale.http import HttpLimits, HttpRequest, HttpResponse, HttpServer
-from pimentoscale.http.server import MAX_CONCURRENT
+from pimentoscale.http.server_connection import MAX_CONCURRENT
 
 WAIT_S = 10.0
 
