Keep the learned limit above its minimum when a target sheds at random

Cause: a target that sheds part of its requests whatever it runs cut the learned limit to a tenth of its slots. Change: sheds cut no further than they cut the present limit.

--- a/src/pimentoscale/admission/learned_limit.py
+++ b/src/pimentoscale/admission/learned_limit.py
@@ -64,6 +64,7 @@
         "_last_at",
         "_limit",
         "_min_limit",
+        "_min_shed_limit",
         "_probe_windows",
         "_probed_at",
         "_runs",
@@ -78,8 +79,9 @@
 
     def __init__(self, slots: int, min_limit: int) -> None:
         self._slots = slots
-        # An upstream with a knee may need far less than one that sheds.
         self._min_limit = max(1.0, min(float(min_limit), slots * MIN_SHARE))
+        # One that sheds below this does not do so since it is full.
+        self._min_shed_limit = float(min_limit)
         self._limit = float(slots)
         self._decreased_at = 0.0
         # The usual time of a run of each kind, and how many runs it is from.
@@ -111,7 +113,8 @@
         if sample.is_overload:
             if now - self._decreased_at >= BACKOFF_INTERVAL_S:
                 self._decreased_at = now
-                self._set_limit(self._limit * BACKOFF_RATIO, "shed")
+                least = min(self._limit, self._min_shed_limit)
+                self._set_limit(max(least, self._limit * BACKOFF_RATIO), "shed")
             return
         usual_ms = self._record_kind(sample)
         self._work_s += usual_ms / 1000
--- a/tests/test_learned_limit.py
+++ b/tests/test_learned_limit.py
@@ -6,6 +6,7 @@
 import pytest
 
 from pimentoscale.admission import make_limit_algorithm
+from pimentoscale.admission.limit_algorithms import Sample
 from tests.capacity_model import Result, Upstream
 
 SLOTS = 60
@@ -88,6 +89,17 @@
     assert algorithm.get_limit() >= 0.85 * SLOTS
 
 
+def test_random_sheds_do_not_cut_the_limit_below_its_minimum() -> None:
+    algorithm = make_limit_algorithm(name="learned", slots=SLOTS, min_limit=45)
+    for index in range(2000):
+        sample = Sample(
+            kind="k", service_ms=100, in_flight=40, is_overload=index % 2 == 0
+        )
+        algorithm.observe(sample, now=index * 0.01)
+    assert algorithm.get_limit() >= 0.55 * 45
+    assert algorithm._limit >= 45  # type: ignore[attr-defined]
+
+
 class Shifted:
     """Passes samples on at later times."""
 
