--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -829,9 +829,9 @@
     open_limiter = machine.sidecar.target._root_limiter
     accept = RootRequestLimiter.try_start
 
-    def try_start(self: Any, route: str, *, was_refused: bool = False) -> bool:
+    def try_start(self: Any, route: str, **caller: Any) -> bool:
         if self is not open_limiter:
             return False
-        return accept(self, route, was_refused=was_refused)
+        return accept(self, route, **caller)
 
     return try_start
