Split the handling of a request by what it needs to know

Cause: the forwarder's handler had grown with keys and quotas. Change: finding the route and serving it are separate; one place builds the answer to what is refused before an attempt.

--- a/src/pimentoscale/forwarding/forwarder.py
+++ b/src/pimentoscale/forwarding/forwarder.py
@@ -112,6 +112,18 @@
         if route is None:
             error = CallError(kind=ErrorKind.NO_ROUTE)
             return self._responses.build_error(error, metadata.identity, "")
+        return await self._serve(request, metadata, route, table, now=now)
+
+    async def _serve(
+        self,
+        request: HttpRequest,
+        metadata: RequestMetadata,
+        route: Route,
+        table: RouteTable,
+        *,
+        now: float,
+    ) -> HttpResponse:
+        """Return the response to a request on a route."""
         self.origins.record_request(
             connection=request.connection_id,
             route=route.name,
@@ -129,21 +141,21 @@
             return self._responses.build_error(
                 access.error, metadata.identity, route.name
             )
-        forward = self._make_forward(request, metadata, route, access.organisation, now)
+        organisation = access.organisation
+        forward = self._make_forward(request, metadata, route, organisation, now)
         expires_at = now + _get_remaining_s(metadata)
+        refusal = None
         if not self._may_take(forward, expires_at=expires_at, now=now):
-            error = CallError(kind=ErrorKind.DRAINING, detail="the node stops")
-            return self._responses.build_error(error, forward.identity, forward.route)
-        organisation = access.organisation
-        if organisation is not None:
-            over_quota = self._gate.admit(organisation, now=now)
-            if over_quota is not None:
-                return self._responses.build_error(
-                    over_quota,
-                    forward.identity,
-                    forward.route,
-                    organisation=organisation.name,
-                )
+            refusal = CallError(kind=ErrorKind.DRAINING, detail="the node stops")
+        elif organisation is not None:
+            refusal = self._gate.admit(organisation, now=now)
+        if refusal is not None:
+            return self._responses.build_error(
+                refusal,
+                forward.identity,
+                forward.route,
+                organisation=forward.organisation,
+            )
         history = AttemptHistory()
         try:
             async with self._state.time_limits.limit():
