--- a/src/pimentoscale/http/server_connection.py
+++ b/src/pimentoscale/http/server_connection.py
@@ -98,6 +98,8 @@
         # What the request that is arriving holds, and the answers that are not read.
         self._holding: Holding | None = None
         self._unsent: Holding | None = None
+        # Size of the last answer, in bytes.
+        self._last_written = 0
         # Bytes received since the last part of a body or the end of a request, and
         # whether there was neither in the bytes that are parsed now.
         self._head_received = 0
@@ -254,7 +256,8 @@
             return
         if self._unsent is None:
             self._unsent = Holding(label="unread answer", on_evict=self._abort, now=now)
-        size = self._transport.get_write_buffer_size() - self._unsent.size
+        # A part that is sent in part is held as a whole.
+        size = self._last_written - self._unsent.size
         self._server.account.grow(self._unsent, max(0, size), now=now)
 
     def resume_writing(self) -> None:
@@ -421,4 +424,5 @@
 
     def _write(self, *parts: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
+            self._last_written = sum(map(len, parts))
             self._transport.writelines(parts)
