--- a/src/pimentoscale/forwarding/quotas.py
+++ b/src/pimentoscale/forwarding/quotas.py
@@ -12,7 +12,6 @@
 
 import xxhash
 
-from pimentoscale.errors import CallError
 from pimentoscale.forwarding.links import Links
 from pimentoscale.forwarding.settings import SidecarSettings
 from pimentoscale.forwarding.state import SidecarState
@@ -82,10 +81,6 @@
         self._indexed_at = -math.inf
         self.gate = QuotaGate(phase=phase)
 
-    def admit(self, organisation: Organisation, *, now: float) -> CallError | None:
-        """Count a request; return an error if its organisation is at its limit."""
-        return self.gate.admit(organisation, now=now)
-
     async def run(self) -> None:
         """Report and decide periodically until cancelled."""
         loop = asyncio.get_running_loop()
