--- a/src/pimentoscale/forwarding/reservations.py
+++ b/src/pimentoscale/forwarding/reservations.py
@@ -28,6 +28,8 @@
 
     def reserve(self, size: int) -> bool:
         """Reserve room for a body; return False if there is none."""
+        if size < 0:
+            return False
         loop = asyncio.get_running_loop()
         holding = Holding(label="body", on_evict=lambda: None, now=loop.time())
         if not self._account.try_reserve(holding, COPIES * size):
