Log when a version was heard of and why it was not fetched

Change: 'in force' lines tell how long before another node stated the version; a fetch without a stream leaves a line; gauges for the stated version and the age of the store's confirmation. Result: no change of behaviour; tests of fetches, logs and explanations pass.

--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -227,6 +227,8 @@
             forwarder=self.forwarder,
             target=self.target,
             links=self.links,
+            routes=self.routes,
+            selection=self.relay.selection,
             store=store,
             watchers=self._watchers,
             account=self.account,
--- a/src/pimentoscale/forwarding/operator_interface.py
+++ b/src/pimentoscale/forwarding/operator_interface.py
@@ -7,6 +7,8 @@
 from pimentoscale.forwarding.explanation import Explainer
 from pimentoscale.forwarding.forwarder import Forwarder
 from pimentoscale.forwarding.links import Links
+from pimentoscale.forwarding.routes import RouteUpdater
+from pimentoscale.forwarding.sources import SourceSelection
 from pimentoscale.forwarding.state import SidecarState
 from pimentoscale.forwarding.target import LocalTarget
 from pimentoscale.http import HttpRequest, HttpResponse
@@ -29,6 +31,8 @@
         "_explainer",
         "_forwarder",
         "_links",
+        "_routes",
+        "_selection",
         "_state",
         "_store",
         "_target",
@@ -42,6 +46,8 @@
         forwarder: Forwarder,
         target: LocalTarget,
         links: Links,
+        routes: RouteUpdater,
+        selection: SourceSelection,
         store: RecordStore,
         watchers: Sequence[TopicWatcher],
         account: MemoryAccount,
@@ -51,6 +57,8 @@
         self._forwarder = forwarder
         self._target = target
         self._links = links
+        self._routes = routes
+        self._selection = selection
         self._store = store
         self._watchers = watchers
         self._account = account
@@ -72,6 +80,8 @@
         limit = self._target.limit
         values: dict[str, float] = {
             "routes_version": self._state.version,
+            "routes_version_stated": self._routes.stated_version,
+            "records_age_seconds": self._get_records_age_s(),
             "requests_in_progress": self._forwarder.in_progress,
             "target_in_progress": self._target.in_progress,
             "target_sent_requests": self._target.sent_requests,
@@ -95,6 +105,11 @@
             values[f"store_calls_{kind}"] = calls
         return values
 
+    def _get_records_age_s(self) -> float:
+        """Return how long ago the store confirmed the records held; -1 if never."""
+        age_s = self._selection.get_age_s(now=asyncio.get_running_loop().time())
+        return UNKNOWN if age_s is None else age_s
+
     def _get_store_age_s(self) -> float:
         """Return how long ago the store last responded; -1 if it never has."""
         times = [
--- a/src/pimentoscale/forwarding/routes.py
+++ b/src/pimentoscale/forwarding/routes.py
@@ -47,6 +47,10 @@
         self._fetched_from = ""
         # Another peer that stated a newer version during a fetch, and that version.
         self._next: tuple[str, int] | None = None
+        # The newest version that a peer has stated, and when a peer first stated one
+        # that was newer than the one in force.
+        self.stated_version = 0
+        self._stated_at: float | None = None
         self.on_change: Callable[[RouteTable], None] | None = None
 
     def apply_record(self, record: KeyedRecord) -> None:
@@ -77,12 +81,15 @@
         self._state.table = table
         self._state.record = data
         log.info(
-            "version %d in force, replaces %d: source=%s routes=%d",
+            "version %d in force, replaces %d: source=%s routes=%d heard_s_ago=%s",
             table.version,
             old_version,
             source,
             len(table.routes),
+            self._describe_stated_age(),
         )
+        if table.version >= self.stated_version:
+            self._stated_at = None
         _log_changes(old_routes, table)
         _log_faults(table)
         if self.on_change is not None:
@@ -91,6 +98,9 @@
 
     def start_fetch(self, remote: Hello, version: int) -> None:
         """Fetch a newer version from a peer; after a running fetch if that fails."""
+        self.stated_version = max(self.stated_version, version)
+        if self._stated_at is None:
+            self._stated_at = asyncio.get_running_loop().time()
         if self.is_fetching:
             if remote.instance != self._fetched_from:
                 self._next = (remote.instance, version)
@@ -105,6 +115,12 @@
             self._next = None
             self._fetching = asyncio.create_task(self._fetch(remote.instance, version))
 
+    def _describe_stated_age(self) -> str:
+        """Return how long ago a peer first stated a version newer than the old one."""
+        if self._stated_at is None:
+            return "never"
+        return f"{asyncio.get_running_loop().time() - self._stated_at:.2f}"
+
     @property
     def is_fetching(self) -> bool:
         """Return whether a version is being fetched."""
@@ -123,6 +139,7 @@
     async def _fetch_from(self, name: str, version: int) -> None:
         peer = self._links.find_peer(name)
         if peer is None:
+            log.info("version %d not fetched: no stream to %s", version, name)
             return
         try:
             answer = await peer.query(FetchRoutes(query=0), timeout_s=FETCH_TIMEOUT_S)
