Keep streams between the readers of all zones

Callers saw: requests of a whole zone handled by an older version while its readers had no answers of the store. Cause: versions pass between zones by the heartbeats of streams that exist only while requests use them. Without such a stream, a zone whose readers are without answers waits until one of them gives its read up. Change: a reader keeps streams to two nodes of each other zone, those that read there unless they fail; a change of version is stated on them at once. A reader has two more streams for each other zone; nodes that don't read have none more.

--- a/src/pimentoscale/forwarding/links.py
+++ b/src/pimentoscale/forwarding/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from heapq import nsmallest
 from typing import Any
 
 from pimentoscale.forwarding.state import SidecarState
@@ -31,6 +32,11 @@
 # How long a notice to another zone is tried, and the pause between two tries.
 NOTICE_TIMEOUT_S = 1.0
 RETRY_S = 0.05
+# A reader of the store keeps streams to this many nodes of each other zone: those that
+# read the store there, unless they fail.
+ZONE_CONTACTS = 2
+# How often these streams are opened again; shorter than `IDLE_TIMEOUT_S`.
+CONTACT_PERIOD_S = 2.0
 # Half of the time without a frame after which a stream is closed.
 HEARTBEAT_PERIOD_S = 1.0
 # Streams to other zones are closed when unused for this time: heartbeats cost bytes.
@@ -50,6 +56,7 @@
         self._retired: set[Peer] = set()
         self._up: dict[str, asyncio.Event] = {}
         self._used_at: dict[str, float] = {}
+        self._contacts_kept_at = -CONTACT_PERIOD_S
         self.on_version: Callable[[Hello, int], None] | None = None
         self.on_draining_state: Callable[[str, bool], None] | None = None
         self.on_routes: Callable[[list[str]], None] | None = None
@@ -128,6 +135,30 @@
             if not is_own_zone and is_idle and not self._peers[name].in_progress:
                 self.remove_member(name)
 
+    def keep_zone_contacts(self, *, now: float) -> None:
+        """Keep streams to some nodes of each other zone, though no request uses them.
+
+        Versions come and go on them while the store leaves all readers of a zone
+        without answers.
+        """
+        if now - self._contacts_kept_at < CONTACT_PERIOD_S:
+            return
+        self._contacts_kept_at = now
+        for members in self._list_contacts().values():
+            for member in members:
+                self._open(member, now)
+
+    def _list_contacts(self) -> dict[str, list[Member]]:
+        """Return the nodes of each other zone that read the store, unless they fail."""
+        zones: dict[str, list[Member]] = {}
+        for member in self._state.members.values():
+            if member.zone != self._state.settings.zone:
+                zones.setdefault(member.zone, []).append(member)
+        return {
+            zone: nsmallest(ZONE_CONTACTS, members, key=_rank_member)
+            for zone, members in zones.items()
+        }
+
     def close(self) -> None:
         """Close all streams."""
         for peer in [*self._peers.values(), *self._retired]:
@@ -213,6 +244,13 @@
         for peer in self._peers.values():
             peer.send(frame)
 
+    def send_zone_heartbeats(self) -> None:
+        """Send heartbeats to nodes of other zones now, as after a change of version."""
+        for name, peer in self._peers.items():
+            member = self._state.members.get(name)
+            if member is not None and member.zone != self._state.settings.zone:
+                peer.send(self.build_heartbeat())
+
     async def send_store_check(self, *, now: float) -> None:
         """Ask the readers of the store to check on it.
 
@@ -221,18 +259,13 @@
         """
         frame = CheckStore()
         own_zone = self._state.settings.zone
-        roots: dict[str, Member] = {}
         for name, member in self._state.members.items():
             if member.zone == own_zone:
                 self.send(name, frame)
-                continue
-            root = roots.setdefault(member.zone, member)
-            if rank_root(name) < rank_root(root.instance):
-                roots[member.zone] = member
         ends_at = now + NOTICE_TIMEOUT_S
         sending = [
-            self.send_once_up(member, frame, ends_at=ends_at)
-            for member in roots.values()
+            self.send_once_up(members[0], frame, ends_at=ends_at)
+            for members in self._list_contacts().values()
         ]
         await asyncio.gather(*sending)
 
@@ -290,3 +323,7 @@
             if candidate is peer:
                 return name
         return None
+
+
+def _rank_member(member: Member) -> tuple[int, int]:
+    return rank_root(member.instance)
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -501,6 +501,7 @@
         if service is not None:
             self.target.set_connection_limit(service.max_connections)
         self.receiver.send_heartbeat()
+        self.links.send_zone_heartbeats()
 
     def _set_draining(self, instance: str, is_draining: bool) -> None:
         view = self.views.find(instance)
@@ -547,6 +548,8 @@
         self.forwarder.apply_settings()
         self.relay.update(now=now)
         self.relay.send_status(now=now)
+        if self.relay.selection.choice.reads_store:
+            self.links.keep_zone_contacts(now=now)
         wait_ms = self.confirmations.choose_read_wait_ms(ROUTES_WAIT_MS)
         self._watchers[0].set_wait_ms(wait_ms, now=now)
         self.confirmations.ask(now=read_boot_time())
