Have other nodes of a zone read while a reader has no answer

Callers saw: requests of a zone that reaches no other zone handled by an older version, at nodes that the store would have answered. Cause: only the two readers of a zone ask the store. While both are without answers, the zone learns nothing until one of them gives up a read of 4 s and then fails two more calls. Change: a node that is asked to check the store reads beside the readers for a second if it is one of the next four in their order. A confirmation counts as too old after 4 s instead of 6. In calm a zone reads once a second instead of once in two.

--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -59,9 +59,11 @@
 # Least time between two reads of members, so that records written close together are
 # read with one call.
 MEMBERS_PAUSE_S = 1.0
-# How long a read of routes waits for a new record. Its answer also confirms to the
-# other nodes that there is none, so it is shorter than the store allows.
-ROUTES_WAIT_MS = 4000
+# How long a read of routes waits for a new record. Of the two readers of a zone, whose
+# waits end evenly apart, one notices within half of it that the store does not answer,
+# which must leave time for a read by another node within the bound of two seconds on
+# the use of a version.
+ROUTES_WAIT_MS = 2000
 # The same for members, whose readers are known to be in touch by their reads of routes.
 MEMBERS_WAIT_MS = 25_000
 
@@ -432,9 +434,12 @@
                 self._spawn(self.registry.store_route(route))
 
     def _check_store(self, remote: Hello) -> None:
+        """Check on the reads of this node, or read beside the readers for a moment."""
         log.debug("check of the store requested by %s", remote.instance)
+        now = asyncio.get_running_loop().time()
+        self.relay.assist(now=now)
         for watcher in self._watchers:
-            watcher.check(now=asyncio.get_running_loop().time())
+            watcher.check(now=now)
 
     def _answer_confirmation(
         self, connection: Connection, remote: Hello, frame: AskConfirmation
--- a/src/pimentoscale/forwarding/relay.py
+++ b/src/pimentoscale/forwarding/relay.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from heapq import nsmallest
 
 from pimentoscale.forwarding.links import Links
-from pimentoscale.forwarding.sources import SourceSelection
+from pimentoscale.forwarding.sources import READERS, SourceSelection
 from pimentoscale.forwarding.state import SidecarState
 from pimentoscale.logs import get_logger
+from pimentoscale.membership.tree import rank_root
 from pimentoscale.store import (
     KeyedRecord,
     Position,
@@ -19,6 +21,10 @@
 STATUS_PERIOD_S = 0.5
 MAX_AGE_MS = 86_400_000
 AGE_UNKNOWN = -1
+# So many nodes of a zone, the next in order after its readers, read beside them for a
+# moment once a reader has had no answer: both may be without answers.
+ASSISTANTS = 4
+ASSISTANCE_S = 1.0
 POSITION_UNKNOWN = (-1, -1)
 START = (0, 0)
 MAX_KEY_BYTES = 255
@@ -50,6 +56,7 @@
         self._first_topic = first_topic
         self._followers: set[Connection] = set()
         self._status_sent_at = now
+        self._assists_until = now
         self.replicas = {topic: TopicReplica(topic=topic) for topic in handlers}
         self.may_read = {topic: asyncio.Event() for topic in handlers}
         self._eras = dict.fromkeys(handlers, 0)
@@ -130,17 +137,13 @@
     def update(self, *, now: float) -> None:
         """Choose the source of the records anew, and use it."""
         previous = self.selection.choice
-        zone = self._state.settings.zone
-        known = [
-            name
-            for name, member in self._state.members.items()
-            if member.zone == zone and name != self._state.settings.instance
-        ]
+        known = self._list_zone()
         reachable = [name for name in known if self._links.is_up(name)]
         choice = self.selection.choose(reachable, known=len(known), now=now)
+        reads_store = choice.reads_store or now < self._assists_until
         for topic, event in self.may_read.items():
             is_loaded = self.replicas[self._first_topic].next_position is not None
-            if choice.reads_store and (is_loaded or topic == self._first_topic):
+            if reads_store and (is_loaded or topic == self._first_topic):
                 event.set()
             else:
                 event.clear()
@@ -150,6 +153,26 @@
             if choice.node is not None:
                 self._links.send(choice.node, self._make_follow())
 
+    def assist(self, *, now: float) -> None:
+        """Read beside the readers for a moment if this node is one of the next."""
+        own = self._state.settings.instance
+        reachable = [name for name in self._list_zone() if self._links.is_up(name)]
+        next_nodes = nsmallest(READERS + ASSISTANTS, [own, *reachable], key=rank_root)
+        if self.selection.choice.reads_store or own not in next_nodes:
+            return
+        log.info("reading the store beside the readers for %.1f s", ASSISTANCE_S)
+        self._assists_until = now + ASSISTANCE_S
+        self.update(now=now)
+
+    def _list_zone(self) -> list[str]:
+        """Return the other members of this node's zone."""
+        return [
+            name
+            for name, member in self._state.members.items()
+            if member.zone == self._state.settings.zone
+            and name != self._state.settings.instance
+        ]
+
     def send_status(self, *, now: float) -> None:
         """State the confirmation to the followers once in `STATUS_PERIOD_S`."""
         if now - self._status_sent_at < STATUS_PERIOD_S:
--- a/src/pimentoscale/forwarding/sources.py
+++ b/src/pimentoscale/forwarding/sources.py
@@ -19,13 +19,15 @@
 from pimentoscale.logs import get_logger
 from pimentoscale.membership.tree import find_parent, find_root
 
+# Nodes of each zone that read the store.
+READERS = 2
 # A source must send something at least this often.
 SILENT_S = 1.2
-# A source whose confirmation is older than this is unfit. Readers confirm every four
+# A source whose confirmation is older than this is unfit. Readers confirm every two
 # seconds, and each hop may add one period of the status messages. While one reader is
 # cut off from the store, versions of the routes still come from the other one, through
 # the heartbeats of all nodes.
-STALE_S = 6.0
+STALE_S = 4.0
 # How long a new source may take to state a recent confirmation.
 GRACE_S = 1.5
 # How long a node counts as unfit, and how many may at most: with the store down for
