Shorten the waits that may come in a row before a version is in force

Callers saw: requests handled by an older version after the store was away. Cause: each wait was below the bound, but a silent read of the newest records (2 s) and the pause after it (0.6 s) were not, nor two fetches (1 s each). Change: a read of the newest records waits 1 s, as other reads; a fetch 0.5 s.

--- a/src/pimentoscale/forwarding/routes.py
+++ b/src/pimentoscale/forwarding/routes.py
@@ -22,7 +22,7 @@
 # The store delivers a new version to all nodes at once. A peer is asked for it only if
 # the store has not delivered it within this time.
 FETCH_DELAY_S = 0.1
-FETCH_TIMEOUT_S = 1.0
+FETCH_TIMEOUT_S = 0.5
 # Largest number of routes of a new version that are logged, one per line.
 MAX_CHANGE_LINES = 20
 
--- a/src/pimentoscale/platform/store.py
+++ b/src/pimentoscale/platform/store.py
@@ -138,7 +138,7 @@
             path = f"/v1/log-newest?topic={quote(topic)}&part=0"
             if after:
                 path += f"&after={quote(after, safe='', errors=KEY_ERRORS)}"
-            response, era = await self._call("newest", path, b"", CALL_TIMEOUT_S)
+            response, era = await self._call("newest", path, b"", READ_TIMEOUT_S)
             page = _decode_newest(response)
             if next_position is None:
                 next_position = Position(era=era, offset=page.end_offset)
--- a/tests/test_zone_without_store.py
+++ b/tests/test_zone_without_store.py
@@ -6,9 +6,11 @@
 import pytest
 
 from pimentoscale.forwarding.node import Sidecar
+from pimentoscale.forwarding.routes import FETCH_DELAY_S, FETCH_TIMEOUT_S
 from pimentoscale.http import HttpResponse
 from pimentoscale.platform.store import StoreClient
 from pimentoscale.store import StoreError
+from pimentoscale.store.watch import BACKOFF_MAX_S
 from tests.sidecars import Deployment, make_route, run_deployment, wait_until
 
 # The users' bound from the store's acknowledgement of a version to its use, in seconds.
@@ -145,3 +147,31 @@
         assert await measure_delay(deployment, in_touch) < CONFIG_BOUND_S
 
     run_zones(scenario, {"z1": 4})
+
+
+def test_silent_reads_and_the_pause_after_them_leave_time_for_another(
+    unanswered: set[StoreClient],
+) -> None:
+    """A silent read of the newest records and the pause after it took 2.6 s."""
+
+    async def scenario(deployment: Deployment) -> None:
+        (node,) = list_zone(deployment, "z1")
+        client = get_client(node)
+        loop = asyncio.get_running_loop()
+        unanswered.add(client)
+        for read in (
+            client.read_newest(topic="keyed.op"),
+            client.read(topic="keyed.op", offset=0, wait_ms=0),
+        ):
+            began = loop.time()
+            with pytest.raises(StoreError):
+                await read
+            longest_pause_s = 1.5 * BACKOFF_MAX_S
+            assert loop.time() - began + longest_pause_s < CONFIG_BOUND_S
+
+    run_zones(scenario, {"z1": 1})
+
+
+def test_fetches_from_two_silent_nodes_leave_time_for_another() -> None:
+    """Two fetches in a row took 2.1 s."""
+    assert FETCH_DELAY_S + 2 * FETCH_TIMEOUT_S < CONFIG_BOUND_S - FETCH_TIMEOUT_S
