End a shortage for roots only by good answers that cannot be chance

Four good answers in a row ended a shortage; with one answer in six bad, every second run of four is good by chance. And the limit then grew by a constant ratio, also where only the smoothed share had fallen. Change: good answers in a row count as the end once they would come with a probability of 0.0005 if the share of bad ones before them still held; only then does the limit grow by a constant ratio.

--- a/src/pimentoscale/admission/root_limiter.py
+++ b/src/pimentoscale/admission/root_limiter.py
@@ -31,18 +31,21 @@
 # The limit is raised below this part of the share at which it is cut.
 RAISE_RATIO = 0.4
 BAD_SHARE_SMOOTHING = 0.05
-# After so many good answers in a row, over at least this time, no share of bad answers
-# is left: a limit that was cut far lets too few answers through to smooth them.
-GOOD_STREAK = 4
-GOOD_STREAK_S = 0.5
+# A limit that was cut far lets too few answers through to smooth their share. So good
+# answers in a row, over at least this time, show the end of a shortage once they would
+# come with at most this probability if as many answers as before were still bad.
+END_BY_CHANCE = 0.0005
+END_MIN_S = 0.5
+# Smoothing of the share of bad answers before those.
+RECENT_BAD_SHARE_SMOOTHING = 0.15
 CUT_RATIO = 0.85
 # A route that yields to a more important one is cut by more.
 YIELD_CUT_RATIO = 0.75
 # Least time between two cuts: a cut shows in the answers only after that time.
 CUT_INTERVAL_S = 0.4
 INCREASE_PER_ANSWER = 0.12
-# A limit below this part of what it was before a series of cuts grows by a constant
-# ratio: what cut it has ended. `REGROWTH_TIME_S` is the time of a growth by e.
+# After the end of a shortage, a limit below this part of what it was before the cuts
+# grows by a constant ratio. `REGROWTH_TIME_S` is the time of a growth by e.
 REGROWTH_SHARE = 0.85
 REGROWTH_TIME_S = 0.25
 MIN_LIMIT = 2.0
@@ -91,9 +94,15 @@
     # The limit before the last series of cuts, and whether that goes on.
     limit_before_cuts: float = 0.0
     is_being_cut: bool = False
-    # Good answers since the last bad one, and when that was.
-    good_streak: int = 0
+    # Whether answers have shown the end of the shortage for which the limit was cut.
+    has_ended: bool = False
+    # When the last bad answer was, the share of bad ones until then, and the number of
+    # good ones since.
     bad_at: float = 0.0
+    bad_share_until_last: float = 0.0
+    good_streak: int = 0
+    # The share of bad answers with `RECENT_BAD_SHARE_SMOOTHING`.
+    recent_bad_share: float = 0.0
     # Running requests of each organisation that has any.
     by_organisation: dict[str, int] = field(default_factory=dict)
     importance: int = 0
@@ -136,18 +145,27 @@
         """Update the recent and the usual share of bad answers."""
         self.bad_share += BAD_SHARE_SMOOTHING * (is_bad - self.bad_share)
         self.shortage += BAD_SHARE_SMOOTHING * (is_bad - self.shortage)
+        self.recent_bad_share += RECENT_BAD_SHARE_SMOOTHING * (
+            is_bad - self.recent_bad_share
+        )
         if is_bad:
             self.good_streak = 0
             self.bad_at = now
+            self.bad_share_until_last = self.recent_bad_share
         else:
             self.good_streak += 1
-        is_long = now - self.bad_at >= GOOD_STREAK_S
-        if self.good_streak >= GOOD_STREAK and is_long:
+        if self.shortage > 0 and self._shows_end(now):
             self.shortage = 0.0
+            self.has_ended = True
         self.usual_bad_share = self._update_baseline(
             self.usual_bad_share, self.bad_share
         )
 
+    def _shows_end(self, now: float) -> bool:
+        """Return whether the good answers in a row show that a shortage has ended."""
+        chance = (1 - self.bad_share_until_last) ** self.good_streak
+        return chance <= END_BY_CHANCE and now - self.bad_at >= END_MIN_S
+
     def _update_baseline(self, baseline: float, recent: float) -> float:
         """Return the new baseline of an average; the first answers set it."""
         if self.answers < MIN_ANSWERS:
@@ -245,6 +263,7 @@
         if state.shortage > cut_share:
             if is_bad and now - state.cut_at >= CUT_INTERVAL_S:
                 base = min(state.limit, state.running + 1.0)
+                state.has_ended = False
                 if not state.is_being_cut:
                     state.is_being_cut = True
                     state.limit_before_cuts = base
@@ -259,7 +278,8 @@
             state.is_being_cut = False
             if state.limit < max_limit:
                 increase = INCREASE_PER_ANSWER
-                if state.limit < REGROWTH_SHARE * state.limit_before_cuts:
+                regrows_to = REGROWTH_SHARE * state.limit_before_cuts
+                if state.has_ended and state.limit < regrows_to:
                     ratio = min(1.0, pause_s / REGROWTH_TIME_S)
                     increase = max(increase, state.limit * ratio)
                 state.limit = min(max_limit, state.limit + increase)
--- a/tests/test_root_recovery.py
+++ b/tests/test_root_recovery.py
@@ -125,6 +125,59 @@
     assert median(item[1] for item in results) <= most_bad
 
 
+def measure_bad_share_of_trees(*, demand: float, rank: float, seed: int) -> float:
+    """Return the share of bad answers while demand exceeds the room for long.
+
+    Each request makes eight calls in turn of a service below that all nodes share, and
+    fails with the first call that is shed. `demand` is that in units of the room.
+    """
+    calls, nodes, room = 8, 24, 60
+    rng = random.Random(seed)
+    limiters = [RootRequestLimiter(capacity=84) for _ in range(nodes)]
+    # When a call ends, the node of its request, and its number in the request.
+    ends: list[tuple[float, int, int]] = []
+    good = bad = 0
+    now = 0.0
+    while now < 30.0:
+        now += rng.expovariate(demand * room / WORK_S)
+        while ends and ends[0][0] <= now:
+            is_shed = rng.random() < max(0.0, 1 - room / len(ends))
+            ended, node, number = heapq.heappop(ends)
+            if not is_shed and number < calls:
+                call_s = WORK_S / calls * rng.uniform(0.6, 1.4)
+                heapq.heappush(ends, (ended + call_s, node, number + 1))
+                continue
+            limiters[node].end("r")
+            limiters[node].observe(
+                "r",
+                elapsed_s=WORK_S * number / calls,
+                objective_s=1.5,
+                failed=is_shed,
+                rank=rank,
+                now=ended,
+            )
+            if now > 8.0:
+                good += not is_shed
+                bad += is_shed
+        node = rng.randrange(nodes)
+        if limiters[node].try_start("r"):
+            call_s = WORK_S / calls * rng.uniform(0.6, 1.4)
+            heapq.heappush(ends, (now + call_s, node, 1))
+    return bad / (good + bad)
+
+
+@pytest.mark.parametrize("demand", [2.0, 4.0])
+@pytest.mark.parametrize(("rank", "most_bad"), [(0.0, 0.2), (1.0, 0.6)])
+def test_few_good_answers_do_not_end_a_shortage_that_lasts(
+    rank: float, most_bad: float, demand: float
+) -> None:
+    shares = [
+        measure_bad_share_of_trees(demand=demand, rank=rank, seed=seed)
+        for seed in range(6)
+    ]
+    assert median(shares) <= most_bad
+
+
 if __name__ == "__main__":
     for rank in (0.0, 1.0):
         for rate, capacity in ((4.0, 39), (15.0, 39), (40.0, 39), (400.0, 400)):
