Ask two nodes of each zone to check the store, and keep their streams apart

Cause: one node of another zone was asked to check the store, which may be the one that is down; and announcements of degraded routes would follow the kept streams to zones to which no request goes. Change: both contacts of a zone are asked; streams kept for versions alone carry no such announcements, and end once the node no longer reads.

--- a/src/pimentoscale/forwarding/links.py
+++ b/src/pimentoscale/forwarding/links.py
@@ -1,6 +1,7 @@
 """Manages the streams that this node opens to other nodes."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from heapq import nsmallest
 from typing import Any
@@ -35,7 +36,7 @@
 # A reader of the store keeps streams to this many nodes of each other zone: those that
 # read the store there, unless they fail.
 ZONE_CONTACTS = 2
-# How often these streams are opened again; shorter than `IDLE_TIMEOUT_S`.
+# How often a reader chooses these nodes anew.
 CONTACT_PERIOD_S = 2.0
 # Half of the time without a frame after which a stream is closed.
 HEARTBEAT_PERIOD_S = 1.0
@@ -56,7 +57,9 @@
         self._retired: set[Peer] = set()
         self._up: dict[str, asyncio.Event] = {}
         self._used_at: dict[str, float] = {}
-        self._contacts_kept_at = -CONTACT_PERIOD_S
+        # Nodes of other zones to which streams are kept though no request uses them.
+        self._contacts: set[str] = set()
+        self._contacts_chosen_at = -CONTACT_PERIOD_S
         self.on_version: Callable[[Hello, int], None] | None = None
         self.on_draining_state: Callable[[str, bool], None] | None = None
         self.on_routes: Callable[[list[str]], None] | None = None
@@ -131,22 +134,32 @@
             is_own_zone = (
                 member is not None and member.zone == self._state.settings.zone
             )
-            is_idle = now - self._used_at[name] > IDLE_TIMEOUT_S
-            if not is_own_zone and is_idle and not self._peers[name].in_progress:
+            is_kept = is_own_zone or name in self._contacts
+            if not is_kept and self._is_idle(name, now):
                 self.remove_member(name)
 
-    def keep_zone_contacts(self, *, now: float) -> None:
-        """Keep streams to some nodes of each other zone, though no request uses them.
+    def _is_idle(self, name: str, now: float) -> bool:
+        is_unused = now - self._used_at[name] > IDLE_TIMEOUT_S
+        return is_unused and not self._peers[name].in_progress
+
+    def choose_contacts(self, *, reads_store: bool, now: float) -> None:
+        """Keep streams to some nodes of each other zone if this node reads the store.
 
         Versions come and go on them while the store leaves all readers of a zone
         without answers.
         """
-        if now - self._contacts_kept_at < CONTACT_PERIOD_S:
+        if not reads_store:
+            self._contacts.clear()
+            return
+        if now - self._contacts_chosen_at < CONTACT_PERIOD_S:
             return
-        self._contacts_kept_at = now
+        self._contacts_chosen_at = now
+        self._contacts.clear()
         for members in self._list_contacts().values():
             for member in members:
-                self._open(member, now)
+                self._contacts.add(member.instance)
+                self._used_at.setdefault(member.instance, -math.inf)
+                self._connect(member)
 
     def _list_contacts(self) -> dict[str, list[Member]]:
         """Return the nodes of each other zone that read the store, unless they fail."""
@@ -238,11 +251,15 @@
         for peer in self._peers.values():
             peer.send(frame)
 
-    def send_degraded_route(self, importance: int) -> None:
-        """Send the importance of a route degraded here to all nodes with a stream."""
+    def send_degraded_route(self, importance: int, *, now: float) -> None:
+        """Send the importance of a route degraded here to all nodes of the own zone.
+
+        Those of other zones get it if requests go there.
+        """
         frame = DegradedRoute(importance=importance)
-        for peer in self._peers.values():
-            peer.send(frame)
+        for name, peer in self._peers.items():
+            if name not in self._contacts or not self._is_idle(name, now):
+                peer.send(frame)
 
     def send_zone_heartbeats(self) -> None:
         """Send heartbeats to nodes of other zones now, as after a change of version."""
@@ -254,8 +271,8 @@
     async def send_store_check(self, *, now: float) -> None:
         """Ask the readers of the store to check on it.
 
-        In other zones one node is asked, with a stream that is opened for it if need
-        be; it asks those of its zone if it has no answer either.
+        In other zones the contacts are asked, with streams that are opened for it if
+        need be; they ask the others of their zone if they have no answer either.
         """
         frame = CheckStore()
         own_zone = self._state.settings.zone
@@ -264,8 +281,9 @@
                 self.send(name, frame)
         ends_at = now + NOTICE_TIMEOUT_S
         sending = [
-            self.send_once_up(members[0], frame, ends_at=ends_at)
+            self.send_once_up(member, frame, ends_at=ends_at)
             for members in self._list_contacts().values()
+            for member in members
         ]
         await asyncio.gather(*sending)
 
@@ -303,8 +321,11 @@
         return peer if peer is not None and peer.is_up else None
 
     def _open(self, member: Member, now: float) -> Peer:
+        self._used_at[member.instance] = now
+        return self._connect(member)
+
+    def _connect(self, member: Member) -> Peer:
         name = member.instance
-        self._used_at[name] = now
         peer = self._peers.get(name)
         if peer is None:
             peer = Peer(
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -467,7 +467,7 @@
         importance = self.target.get_degraded_importance(now=now)
         if importance is not None:
             self.target.record_degraded_route(importance, now=now)
-            self.links.send_degraded_route(importance)
+            self.links.send_degraded_route(importance, now=now)
         if importance != self._degraded_importance:
             log.info(
                 "degraded route: importance=%s before=%s",
@@ -553,8 +553,9 @@
         self.forwarder.apply_settings()
         self.relay.update(now=now)
         self.relay.send_status(now=now)
-        if self.relay.selection.choice.reads_store:
-            self.links.keep_zone_contacts(now=now)
+        self.links.choose_contacts(
+            reads_store=self.relay.selection.choice.reads_store, now=now
+        )
         wait_ms = self.confirmations.choose_read_wait_ms(ROUTES_WAIT_MS)
         self._watchers[0].set_wait_ms(wait_ms, now=now)
         self.confirmations.ask(now=read_boot_time())
--- a/tests/test_zone_without_store.py
+++ b/tests/test_zone_without_store.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import pytest
 
+from pimentoscale.forwarding.links import IDLE_TIMEOUT_S, ZONE_CONTACTS
 from pimentoscale.forwarding.node import Sidecar
 from pimentoscale.forwarding.routes import FETCH_DELAY_S, FETCH_TIMEOUT_S
 from pimentoscale.http import HttpResponse
@@ -175,3 +177,28 @@
 def test_fetches_from_two_silent_nodes_leave_time_for_another() -> None:
     """Two fetches in a row took 2.1 s."""
     assert FETCH_DELAY_S + 2 * FETCH_TIMEOUT_S < CONFIG_BOUND_S - FETCH_TIMEOUT_S
+
+
+def test_only_readers_keep_streams_to_other_zones_that_no_request_uses() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        loop = asyncio.get_running_loop()
+        others = {machine.settings.instance for machine in deployment.machines.values()}
+        for zone in ("z1", "z2"):
+            nodes = list_zone(deployment, zone)
+            foreign = {name for name in others if not name.startswith(zone)}
+            for node in nodes:
+                expected = ZONE_CONTACTS if node in list_readers(nodes) else 0
+                later = loop.time() + 2 * IDLE_TIMEOUT_S
+                await wait_until(partial(has_streams, node, foreign, expected))
+                node.links.close_idle(now=later)
+                assert count_streams(node, foreign) == expected
+
+    run_zones(scenario, {"z1": 3, "z2": 3})
+
+
+def has_streams(node: Sidecar, names: set[str], count: int) -> bool:
+    return count_streams(node, names) >= count
+
+
+def count_streams(node: Sidecar, names: set[str]) -> int:
+    return sum(node.links.is_up(name) for name in names)
