Share the start of zones between the tests of the store

Cause: two test modules started zones and waited for their readers alike. Change: Deployment.start_zones, list_phases and has_readers; no check changes.

--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -212,6 +212,33 @@
         finally:
             connection.close()
 
+    async def start_zones(
+        self, nodes_by_zone: dict[str, int], *, services: dict[str, str]
+    ) -> None:
+        """Start machines in zones, and wait until their nodes agree on who reads.
+
+        `services` are those of the zones' targets.
+        """
+        for zone, count in nodes_by_zone.items():
+            for index in range(count):
+                await self.start_machine(f"{zone}-{index}", services[zone], zone=zone)
+        await self.wait_ready()
+        expected = sum(min(2, count) for count in nodes_by_zone.values())
+        await wait_until(lambda: self.has_readers(expected))
+
+    def list_phases(self) -> list[float]:
+        """Return the phases of the waits of the nodes that read the store."""
+        return sorted(
+            machine.sidecar.relay.get_phase()
+            for machine in self.machines.values()
+            if machine.sidecar.relay.selection.choice.reads_store
+        )
+
+    def has_readers(self, expected: int) -> bool:
+        """Return whether the nodes agree on who reads, and in which order."""
+        phases = self.list_phases()
+        return len(phases) == len(set(phases)) == expected
+
     def count_runs(self) -> dict[str, int]:
         """Return how often each id ran, over all targets."""
         runs: dict[str, int] = {}
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -33,12 +33,8 @@
     async def run() -> None:
         async with run_deployment() as deployment:
             deployment.configure([make_route("rb", "b")], SERVICES)
-            for zone, count in nodes_by_zone.items():
-                for index in range(count):
-                    await deployment.start_machine(f"{zone}-{index}", "b", zone=zone)
-            await deployment.wait_ready()
-            expected = 2 * len(nodes_by_zone)
-            await wait_until(lambda: has_readers(deployment, expected))
+            services = dict.fromkeys(nodes_by_zone, "b")
+            await deployment.start_zones(nodes_by_zone, services=services)
             await scenario(deployment)
 
     asyncio.run(run())
@@ -48,21 +44,6 @@
     return [machine.sidecar for machine in deployment.machines.values()]
 
 
-def list_phases(deployment: Deployment) -> list[float]:
-    """Return the phases of the waits of the nodes that read the store."""
-    return sorted(
-        node.relay.get_phase()
-        for node in list_nodes(deployment)
-        if node.relay.selection.choice.reads_store
-    )
-
-
-def has_readers(deployment: Deployment, expected: int) -> bool:
-    """Return whether the nodes agree on who reads, and in which order."""
-    phases = list_phases(deployment)
-    return len(phases) == len(set(phases)) == expected
-
-
 def change_routes(deployment: Deployment) -> None:
     name = f"v{deployment.version + 1}"
     routes = [make_route("rb", "b"), make_route(name, "b")]
@@ -168,7 +149,7 @@
 
 def test_waits_of_the_readers_end_evenly_apart() -> None:
     async def scenario(deployment: Deployment) -> None:
-        assert list_phases(deployment) == [0.0, 0.25, 0.5, 0.75]
+        assert deployment.list_phases() == [0.0, 0.25, 0.5, 0.75]
 
     run_scenario(scenario)
 
--- a/tests/test_zone_without_store.py
+++ b/tests/test_zone_without_store.py
@@ -18,6 +18,7 @@
 # The users' bound from the store's acknowledgement of a version to its use, in seconds.
 CONFIG_BOUND_S = 2.0
 SERVICES = ["b", "c"]
+SERVICES_BY_ZONE = {"z1": "b", "z2": "c"}
 
 
 @pytest.fixture
@@ -49,29 +50,12 @@
     async def run() -> None:
         async with run_deployment() as deployment:
             deployment.configure([make_route("rb", "b")], SERVICES)
-            for zone, count in nodes_by_zone.items():
-                for index in range(count):
-                    await deployment.start_machine(
-                        f"{zone}-{index}", "b" if zone == "z1" else "c", zone=zone
-                    )
-            await deployment.wait_ready()
-            expected = sum(min(2, count) for count in nodes_by_zone.values())
-            await wait_until(lambda: count_phases(deployment) == expected)
+            await deployment.start_zones(nodes_by_zone, services=SERVICES_BY_ZONE)
             await scenario(deployment)
 
     asyncio.run(run())
 
 
-def count_phases(deployment: Deployment) -> int:
-    """Return how many readers there are, if no two have the same phase."""
-    phases = [
-        machine.sidecar.relay.get_phase()
-        for machine in deployment.machines.values()
-        if machine.sidecar.relay.selection.choice.reads_store
-    ]
-    return len(phases) if len(set(phases)) == len(phases) else 0
-
-
 def list_zone(deployment: Deployment, zone: str) -> list[Sidecar]:
     return [
         machine.sidecar
