Let cuts that helped not count as the end of a shortage

Cause: bad answers do not come independently. Once cuts have brought the load below the room, all answers are good for a while; that was taken for the end, and the limit grew past the room again. Change: only a shortage against which cuts did not help (0.7 of the answers still bad at a quarter of the limit or at its minimum) can end so. If the limit has to be cut again within 5 s, good answers have to last 8 s the next time.

--- a/src/pimentoscale/admission/root_limiter.py
+++ b/src/pimentoscale/admission/root_limiter.py
@@ -32,12 +32,20 @@
 RAISE_RATIO = 0.4
 BAD_SHARE_SMOOTHING = 0.05
 # A limit that was cut far lets too few answers through to smooth their share. So good
-# answers in a row, over at least this time, show the end of a shortage once they would
-# come with at most this probability if as many answers as before were still bad.
+# answers in a row show the end of a shortage that cuts did not help against, once they
+# would come with at most this probability if as many as before were still bad.
 END_BY_CHANCE = 0.0005
-END_MIN_S = 0.5
-# Smoothing of the share of bad answers before those.
+# Cuts did not help if so many answers were still bad after a cut to this part of what
+# the limit was before, or to the minimum.
+UNHELPED_BAD_SHARE = 0.7
+UNHELPED_LIMIT_SHARE = 0.25
+# Smoothing of that share of bad answers.
 RECENT_BAD_SHARE_SMOOTHING = 0.15
+# For at least how long answers are good at the end of a shortage. If the limit had to
+# be cut again soon after an end, the shortage goes on, and they must be so for longer.
+END_MIN_S = 0.5
+SOON_AFTER_END_S = 5.0
+END_AFTER_FALSE_END_S = 8.0
 CUT_RATIO = 0.85
 # A route that yields to a more important one is cut by more.
 YIELD_CUT_RATIO = 0.75
@@ -94,8 +102,11 @@
     # The limit before the last series of cuts, and whether that goes on.
     limit_before_cuts: float = 0.0
     is_being_cut: bool = False
-    # Whether answers have shown the end of the shortage for which the limit was cut.
+    # Whether answers have shown the end of the shortage for which the limit was cut,
+    # when they did, and for how long they have to be good for that.
     has_ended: bool = False
+    ended_at: float = 0.0
+    good_for_s: float = END_MIN_S
     # When the last bad answer was, the share of bad ones until then, and the number of
     # good ones since.
     bad_at: float = 0.0
@@ -157,14 +168,28 @@
         if self.shortage > 0 and self._shows_end(now):
             self.shortage = 0.0
             self.has_ended = True
+            self.ended_at = now
         self.usual_bad_share = self._update_baseline(
             self.usual_bad_share, self.bad_share
         )
 
     def _shows_end(self, now: float) -> bool:
         """Return whether the good answers in a row show that a shortage has ended."""
+        if self.bad_share_until_last < UNHELPED_BAD_SHARE:
+            return False
+        if self.limit > max(MIN_LIMIT, UNHELPED_LIMIT_SHARE * self.limit_before_cuts):
+            return False
         chance = (1 - self.bad_share_until_last) ** self.good_streak
-        return chance <= END_BY_CHANCE and now - self.bad_at >= END_MIN_S
+        return chance <= END_BY_CHANCE and now - self.bad_at >= self.good_for_s
+
+    def begin_cuts(self, base: float, now: float) -> None:
+        """Note that a series of cuts begins, and whether an end before it was none."""
+        self.is_being_cut = True
+        self.limit_before_cuts = base
+        if self.has_ended:
+            is_false_end = now - self.ended_at < SOON_AFTER_END_S
+            self.good_for_s = END_AFTER_FALSE_END_S if is_false_end else END_MIN_S
+            self.has_ended = False
 
     def _update_baseline(self, baseline: float, recent: float) -> float:
         """Return the new baseline of an average; the first answers set it."""
@@ -263,10 +288,8 @@
         if state.shortage > cut_share:
             if is_bad and now - state.cut_at >= CUT_INTERVAL_S:
                 base = min(state.limit, state.running + 1.0)
-                state.has_ended = False
                 if not state.is_being_cut:
-                    state.is_being_cut = True
-                    state.limit_before_cuts = base
+                    state.begin_cuts(base, now)
                 ratio = YIELD_CUT_RATIO if must_yield else CUT_RATIO
                 state.limit = max(MIN_LIMIT, base * ratio)
                 state.cut_at = now
--- a/tests/test_root_recovery.py
+++ b/tests/test_root_recovery.py
@@ -178,6 +178,55 @@
     assert median(shares) <= most_bad
 
 
+def measure_bad_share_of_steep_shortage(
+    *, demand: float, rank: float, seed: int
+) -> float:
+    """Return the share of bad answers while a full service fails nearly all at once.
+
+    Cuts alone then make all answers good for a while. All nodes share the service.
+    """
+    nodes, room, steepness = 24, 60, 4.0
+    rng = random.Random(seed)
+    limiters = [RootRequestLimiter(capacity=84) for _ in range(nodes)]
+    ends: list[tuple[float, int]] = []
+    good = bad = 0
+    now = 0.0
+    while now < 30.0:
+        now += rng.expovariate(demand * room / WORK_S)
+        while ends and ends[0][0] <= now:
+            excess = len(ends) / room - 1
+            ended, node = heapq.heappop(ends)
+            failed = rng.random() < steepness * excess
+            limiters[node].end("r")
+            limiters[node].observe(
+                "r",
+                elapsed_s=WORK_S,
+                objective_s=1.5,
+                failed=failed,
+                rank=rank,
+                now=ended,
+            )
+            if now > 8.0:
+                good += not failed
+                bad += failed
+        node = rng.randrange(nodes)
+        if limiters[node].try_start("r"):
+            heapq.heappush(ends, (now + WORK_S * rng.uniform(0.8, 1.2), node))
+    return bad / (good + bad)
+
+
+@pytest.mark.parametrize("demand", [2.0, 4.0])
+@pytest.mark.parametrize(("rank", "most_bad"), [(0.0, 0.2), (1.0, 0.6)])
+def test_success_of_cuts_does_not_end_a_shortage_that_lasts(
+    rank: float, most_bad: float, demand: float
+) -> None:
+    shares = [
+        measure_bad_share_of_steep_shortage(demand=demand, rank=rank, seed=seed)
+        for seed in range(4)
+    ]
+    assert median(shares) <= most_bad
+
+
 if __name__ == "__main__":
     for rank in (0.0, 1.0):
         for rate, capacity in ((4.0, 39), (15.0, 39), (40.0, 39), (400.0, 400)):
