--- a/src/pimentoscale/admission/root_limiter.py
+++ b/src/pimentoscale/admission/root_limiter.py
@@ -106,6 +106,7 @@
     # when they did, and for how long they have to be good for that.
     has_ended: bool = False
     ended_at: float = 0.0
+    limit_at_end: float = 0.0
     good_for_s: float = END_MIN_S
     # When the last bad answer was, the share of bad ones until then, and the number of
     # good ones since.
@@ -169,6 +170,7 @@
             self.shortage = 0.0
             self.has_ended = True
             self.ended_at = now
+            self.limit_at_end = self.limit
         self.usual_bad_share = self._update_baseline(
             self.usual_bad_share, self.bad_share
         )
@@ -183,13 +185,19 @@
         return chance <= END_BY_CHANCE and now - self.bad_at >= self.good_for_s
 
     def begin_cuts(self, base: float, now: float) -> None:
-        """Note that a series of cuts begins, and whether an end before it was none."""
+        """Note that a series of cuts begins; undo the growth after an end that was none.
+
+        `base` is the limit from which it is cut.
+        """
         self.is_being_cut = True
         self.limit_before_cuts = base
-        if self.has_ended:
-            is_false_end = now - self.ended_at < SOON_AFTER_END_S
-            self.good_for_s = END_AFTER_FALSE_END_S if is_false_end else END_MIN_S
-            self.has_ended = False
+        if not self.has_ended:
+            return
+        self.has_ended = False
+        self.good_for_s = END_MIN_S
+        if now - self.ended_at < SOON_AFTER_END_S:
+            self.good_for_s = END_AFTER_FALSE_END_S
+            self.limit = min(self.limit, self.limit_at_end)
 
     def _update_baseline(self, baseline: float, recent: float) -> float:
         """Return the new baseline of an average; the first answers set it."""
@@ -291,7 +299,7 @@
                 if not state.is_being_cut:
                     state.begin_cuts(base, now)
                 ratio = YIELD_CUT_RATIO if must_yield else CUT_RATIO
-                state.limit = max(MIN_LIMIT, base * ratio)
+                state.limit = max(MIN_LIMIT, min(state.limit, base * ratio))
                 state.cut_at = now
                 return True
         elif state.shortage < RAISE_RATIO * cut_share:
