--- a/src/pimentoscale/admission/root_limiter.py
+++ b/src/pimentoscale/admission/root_limiter.py
@@ -185,7 +185,7 @@
         return chance <= END_BY_CHANCE and now - self.bad_at >= self.good_for_s
 
     def begin_cuts(self, base: float, now: float) -> None:
-        """Note that a series of cuts begins; undo the growth after an end that was none.
+        """Note that a series of cuts begins; undo the growth after a false end.
 
         `base` is the limit from which it is cut.
         """
