Show how far each topic was read, and reads that failed unexpectedly

A version that was received and lost looked in the metrics like one that had not arrived: the age of the confirmation is small in both cases.

The offset up to which records were received tells them apart, for each topic; unexpected errors of reads are counted beside it.

--- a/src/pimentoscale/forwarding/operator_interface.py
+++ b/src/pimentoscale/forwarding/operator_interface.py
@@ -101,6 +101,11 @@
             values[f"store_answer_age_seconds_{name}"] = _get_age_s(
                 watcher.last_answer_at
             )
+            offset = watcher.next_offset
+            values[f"records_next_offset_{name}"] = (
+                UNKNOWN if offset is None else offset
+            )
+            values[f"read_errors_{name}"] = watcher.errors
         for kind, calls in self._store.calls.items():
             values[f"store_calls_{kind}"] = calls
         return values
--- a/src/pimentoscale/store/watch.py
+++ b/src/pimentoscale/store/watch.py
@@ -70,6 +70,7 @@
         "_store",
         "_wait_ms",
         "_woken",
+        "errors",
         "last_answer_at",
     )
 
@@ -111,12 +112,20 @@
         # Ends the read in progress.
         self._scope: asyncio.Timeout | None = None
         self.last_answer_at: float | None = None
+        # Reads that failed in a way that no client of the store expects.
+        self.errors = 0
 
     @property
     def topic(self) -> str:
         """Return the name of the topic."""
         return self._replica.topic
 
+    @property
+    def next_offset(self) -> int | None:
+        """Return the offset up to which records were received; None before any."""
+        position = self._replica.next_position
+        return None if position is None else position.offset
+
     def check(self, *, now: float) -> None:
         """Ask the store now: a read in progress may never be answered."""
         if now - self._checked_at < CHECK_PERIOD_S:
@@ -174,6 +183,7 @@
                 wait_s = 0.0
             except Exception as error:
                 # Nothing else reads the topic: the watch must go on.
+                self.errors += 1
                 log.error(
                     "topic %s: a read failed unexpectedly",
                     self._replica.topic,
