--- a/src/pimentoscale_bench/platform.py
+++ b/src/pimentoscale_bench/platform.py
@@ -2,18 +2,21 @@
 
 It implements the part of the platform's protocol that the nodes use: append with `at`,
 read with wait, and the newest record of each key of a keyed topic. It can return from
-an older copy of its records; every answer states how often it has done so.
+an older copy of its records; every answer states how often it has done so. Answers are
+sent in parts of random sizes.
 """
 
 import asyncio
 import base64
 import contextlib
+import random
 import struct
 import time
 from bisect import bisect_left, bisect_right
 from collections import defaultdict
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field, replace
+from itertools import pairwise
 from typing import Annotated, Any
 
 import cyclopts
@@ -21,10 +24,19 @@
 import uvicorn
 from litestar import Litestar, Request, Response, get, post
 from litestar.datastructures import State
+from litestar.response import Stream
 
 app = cyclopts.App(name="pimento-platform", help=__doc__)
 
-MAX_PAGE = 500
+# Limits of the platform's store: items and bytes of a page of newest records, kilobytes
+# of a read, and bytes of a record that a node appends.
+MAX_NEWEST_ITEMS = 500
+MAX_NEWEST_BYTES = 1024 * 1024
+MAX_READ_KB = 1024
+MAX_RECORD_BYTES = 256 * 1024
+KILOBYTE = 1024
+# An answer is sent in up to this many parts.
+MAX_PARTS = 4
 KEYED_PREFIX = "keyed."
 LENGTH = struct.Struct(">I")
 OFFSETS = struct.Struct(">QQ")
@@ -95,10 +107,12 @@
 
     `faults` are the current faults, and `appends` counts the appends done. `era` rises
     with each return from an older copy, and `silences` with each time without answers.
+    `seed` determines the parts in which answers are sent.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, seed: int = 1) -> None:
         self.faults = StoreFaults()
+        self._rng = random.Random(seed)
         self._topics: dict[str, _Partition] = defaultdict(_Partition)
         self.appends = 0
         self.era = FIRST_ERA
@@ -125,11 +139,14 @@
         self.appends += 1
         return first
 
-    async def read(self, topic: str, offset: int, wait_ms: int) -> bytes:
+    async def read(
+        self, topic: str, offset: int, wait_ms: int, *, max_kb: int = MAX_READ_KB
+    ) -> bytes:
         """Return a page of records, in the format of the platform's protocol.
 
-        Waits up to `wait_ms` for a record at `offset`. Raises `StoreGoneError` if the
-        record at `offset` is no longer retained, or if the log ends before it.
+        Waits up to `wait_ms` for a record at `offset`. The page has at most `max_kb`
+        kilobytes, or one record. Raises `StoreGoneError` if the record at `offset` is
+        no longer retained, or if the log ends before it.
         """
         partition = self._topics[topic]
         if offset == partition.end and wait_ms > 0:
@@ -139,22 +156,36 @@
         if not partition.first <= offset <= partition.end:
             raise StoreGoneError
         start = offset - partition.first
-        page = partition.records[start : start + MAX_PAGE]
-        body = b"".join(LENGTH.pack(len(record)) + record for record in page)
-        return OFFSETS.pack(partition.end, partition.first) + body
-
-    def describe_newest(self, topic: str) -> dict[str, Any]:
-        """Return the newest record of each key."""
+        body = bytearray(OFFSETS.pack(partition.end, partition.first))
+        for record in partition.records[start:]:
+            size = len(body) + LENGTH.size + len(record)
+            if len(body) > OFFSETS.size and size > max_kb * KILOBYTE:
+                break
+            body += LENGTH.pack(len(record)) + record
+        return bytes(body)
+
+    def describe_newest(self, topic: str, *, after: str = "") -> dict[str, Any]:
+        """Return a page of the newest record of each key, from after a key on."""
         partition = self._topics[topic]
-        items = [
-            {
-                "key": key.decode("utf-8", "replace"),
-                "value": base64.b64encode(value).decode(),
-                "offset": offset,
-            }
-            for key, (value, offset) in sorted(partition.newest.items())
-        ]
-        return {"items": items, "has_more": False, "end_offset": partition.end}
+        items: list[dict[str, Any]] = []
+        size = 0
+        for key, (value, offset) in sorted(partition.newest.items()):
+            text = key.decode("utf-8", "replace")
+            if text <= after:
+                continue
+            size += len(value)
+            is_full = len(items) == MAX_NEWEST_ITEMS or size > MAX_NEWEST_BYTES
+            if items and is_full:
+                return _make_newest_page(items, partition, has_more=True)
+            data = base64.b64encode(value).decode()
+            items.append({"key": text, "value": data, "offset": offset})
+        return _make_newest_page(items, partition, has_more=False)
+
+    def split_answer(self, data: bytes) -> list[bytes]:
+        """Return the parts of random sizes in which an answer is sent."""
+        count = self._rng.randint(1, MAX_PARTS)
+        ends = sorted(self._rng.randint(0, len(data)) for _ in range(count - 1))
+        return [data[start:end] for start, end in pairwise([0, *ends, len(data)])]
 
     def list_keys(self, topic: str) -> list[bytes]:
         """Return the keys of a keyed topic."""
@@ -197,6 +228,12 @@
             partition.records.clear()
 
 
+def _make_newest_page(
+    items: list[dict[str, Any]], partition: _Partition, *, has_more: bool
+) -> dict[str, Any]:
+    return {"items": items, "has_more": has_more, "end_offset": partition.end}
+
+
 def _drop_oldest(partition: _Partition, count: int) -> None:
     if count > 0:
         del partition.records[:count]
@@ -246,10 +283,10 @@
 
 def _answer_with_era(
     handler: Handler,
-) -> Callable[[Request[Any, Any, Any], State], Awaitable[Response[bytes]]]:
+) -> Callable[[Request[Any, Any, Any], State], Awaitable[Stream]]:
     """Return a handler whose answers state the era, or never come in a silence."""
 
-    async def handle(request: Request[Any, Any, Any], state: State) -> Response[bytes]:
+    async def handle(request: Request[Any, Any, Any], state: State) -> Stream:
         service: StoreService = state.service
         silences = service.silences
         response = None
@@ -257,13 +294,28 @@
             response = await handler(request, service)
         if response is None or service.faults.is_silent or silences != service.silences:
             await _wait_until_closed(request)
-            return _make_json_response({"error": "silent"}, 503)
-        response.headers[ERA_HEADER] = str(service.era)
-        return response
+            response = _make_json_response({"error": "silent"}, 503)
+        parts = service.split_answer(response.content)
+        return Stream(
+            _send_apart(parts),
+            status_code=response.status_code,
+            media_type=response.media_type,
+            headers={
+                ERA_HEADER: str(service.era),
+                "content-length": str(len(response.content)),
+            },
+        )
 
     return handle
 
 
+async def _send_apart(parts: list[bytes]) -> AsyncIterator[bytes]:
+    """Yield parts so that each is sent before the next is there."""
+    for part in parts:
+        yield part
+        await asyncio.sleep(0)
+
+
 async def _wait_until_closed(request: Request[Any, Any, Any]) -> None:
     """Wait until the caller closes the connection."""
     while (await request.receive())["type"] != "http.disconnect":
@@ -298,6 +350,8 @@
     topic = query["topic"]
     at = int(query["at"]) if "at" in query else None
     records = split_records(await request.body())
+    if any(len(record) > MAX_RECORD_BYTES for record in records):
+        return _make_json_response({"error": "a record is too large"}, 413)
     is_lost = service.faults.lost_answers > 0
     if is_lost:
         service.faults.lost_answers -= 1
@@ -323,7 +377,12 @@
     topic = query["topic"]
     service.expire(now=time.monotonic())
     try:
-        page = await service.read(topic, int(query["from"]), int(query["wait_ms"] or 0))
+        page = await service.read(
+            topic,
+            int(query["from"]),
+            int(query["wait_ms"] or 0),
+            max_kb=int(query.get("max_kb", MAX_READ_KB)),
+        )
     except StoreGoneError:
         return _make_json_response({"first_offset": service.get_first(topic)}, 410)
     if service.faults.is_down:
@@ -339,7 +398,9 @@
     """Return the newest record of each key."""
     if (error := await _inject_faults(service)) is not None:
         return error
-    return _make_json_response(service.describe_newest(request.query_params["topic"]))
+    query = request.query_params
+    page = service.describe_newest(query["topic"], after=query.get("after", ""))
+    return _make_json_response(page)
 
 
 @post("/faults", status_code=200)
