Note a record as received once it is applied, and read others again

Seen by callers: a version that raised while it was applied was in force nowhere, until a later one came. One line a node told of it, and no metric.

Cause: a reader advanced its position before the records were applied, a node before it had handled those of a frame, and a record whose handler raised was held as if it had been applied. Any unexpected error lost its record for good, and with it all others of the same read.

Change: records are applied one by one, then the position is advanced. One that raises is remembered by its position; the others go on. Until it is applied, the configuration counts as not confirmed, so keys that it withdraws do not stay accepted. A read that fails unexpectedly counts as a failed one, and the newest records are read in place of the same page. Metrics records_unapplied_* and records_failed_*.

--- a/src/pimentoscale/forwarding/confirmations.py
+++ b/src/pimentoscale/forwarding/confirmations.py
@@ -25,16 +25,20 @@
 
 
 class Confirmations:
-    """Asks for the confirmation, answers other nodes, and logs when it is too old."""
+    """Asks for the confirmation, answers other nodes, and logs when it is too old.
 
-    __slots__ = ("_links", "_relay", "_state", "_was_confirmed")
+    `topic` is that of the configuration.
+    """
+
+    __slots__ = ("_links", "_relay", "_state", "_topic", "_was_confirmed")
 
     def __init__(
-        self, *, state: SidecarState, links: Links, relay: RecordRelay
+        self, *, state: SidecarState, links: Links, relay: RecordRelay, topic: str
     ) -> None:
         self._state = state
         self._links = links
         self._relay = relay
+        self._topic = topic
         self._was_confirmed = True
 
     @property
@@ -89,5 +93,7 @@
         """Use the answer of this node's source."""
         if remote.instance != self._relay.selection.choice.node or frame.age_us < 0:
             return
+        if self._relay.replicas[self._topic].unapplied:
+            return
         at = (frame.clock_us - frame.age_us) / MICROSECONDS
         self._state.access.confirmation.record(at)
--- a/src/pimentoscale/forwarding/node.py
+++ b/src/pimentoscale/forwarding/node.py
@@ -38,7 +38,7 @@
 from pimentoscale.logs import get_logger
 from pimentoscale.memory import make_account
 from pimentoscale.routes import RouteTable
-from pimentoscale.store import RecordStore, TopicReplica, TopicWatcher
+from pimentoscale.store import Position, RecordStore, TopicReplica, TopicWatcher
 from pimentoscale.stream import (
     AdmittedShares,
     AskConfirmation,
@@ -193,7 +193,10 @@
             now=now,
         )
         self.confirmations = Confirmations(
-            state=self.state, links=self.links, relay=self.relay
+            state=self.state,
+            links=self.links,
+            relay=self.relay,
+            topic=topics.routes,
         )
         self._watchers = [
             TopicWatcher(
@@ -270,6 +273,7 @@
         self.links.on_hold = self.copies.answer
         self.receiver.on_notice = self._handle_notice
         self.relay.on_loaded = self._handle_loaded
+        self.relay.on_read_again = self._read_again
         self.receiver.on_check_store = self._check_store
         self.restoration.replica = self.relay.replicas[topics.members]
         self.relay.on_new_era = self._handle_new_era
@@ -427,6 +431,12 @@
                 watcher.check(now=now)
         self._spawn(self.links.send_store_check(now=now))
 
+    def _read_again(self, topic: str, start: Position) -> None:
+        now = asyncio.get_running_loop().time()
+        for watcher in self._watchers:
+            if watcher.topic == topic:
+                watcher.read_again(start, now=now)
+
     def _handle_new_era(self, replica: TopicReplica) -> None:
         if replica is self.restoration.replica:
             now = asyncio.get_running_loop().time()
@@ -553,6 +563,7 @@
         self.forwarder.apply_settings()
         self.relay.update(now=now)
         self.relay.send_status(now=now)
+        self.relay.read_unapplied_again(now=now)
         self.links.choose_contacts(
             reads_store=self.relay.selection.choice.reads_store, now=now
         )
--- a/src/pimentoscale/forwarding/operator_interface.py
+++ b/src/pimentoscale/forwarding/operator_interface.py
@@ -106,6 +106,8 @@
                 UNKNOWN if offset is None else offset
             )
             values[f"read_errors_{name}"] = watcher.errors
+            values[f"records_unapplied_{name}"] = watcher.unapplied
+            values[f"records_failed_{name}"] = watcher.failures
         for kind, calls in self._store.calls.items():
             values[f"store_calls_{kind}"] = calls
         return values
--- a/src/pimentoscale/forwarding/relay.py
+++ b/src/pimentoscale/forwarding/relay.py
@@ -12,8 +12,8 @@
 from pimentoscale.store import (
     KeyedRecord,
     Position,
+    RecordHandler,
     TopicReplica,
-    format_position,
 )
 from pimentoscale.stream import Connection, FollowTopics, Hello, TopicRecords
 
@@ -31,8 +31,6 @@
 
 log = get_logger("relay")
 
-RecordHandler = Callable[[KeyedRecord], None]
-
 
 class RecordRelay:
     """Keeps a replica of each topic up to date and sends its records to followers.
@@ -61,36 +59,65 @@
         self.may_read = {topic: asyncio.Event() for topic in handlers}
         self._eras = dict.fromkeys(handlers, 0)
         self.on_loaded: Callable[[], None] | None = None
+        self.on_read_again: Callable[[str, Position], None] | None = None
         self.on_new_era: Callable[[TopicReplica], None] | None = None
         self.selection = SourceSelection(own_instance=state.settings.instance, now=now)
 
     def receive(
-        self, replica: TopicReplica, records: Iterable[KeyedRecord], source: str
+        self,
+        replica: TopicReplica,
+        records: Iterable[KeyedRecord],
+        source: str,
+        next_position: Position | None,
     ) -> None:
-        """Apply records from a source and send those that are new to the followers."""
-        newer = replica.apply(records, source=source)
-        handle = self._handlers[replica.topic]
-        for record in newer:
-            try:
-                handle(record)
-            except Exception as error:
-                # The replica holds the record: it would not be handled again, nor
-                # would the others of its batch.
-                log.error(
-                    "topic %s: record at %s not applied",
-                    replica.topic,
-                    format_position(record.position),
-                    exc_info=error,
-                )
+        """Apply records from a source and send those that are new to the followers.
+
+        With them all records before `next_position` have come, unless it is None.
+        """
         now = asyncio.get_running_loop().time()
+        handle = self._handlers[replica.topic]
+        newer = replica.apply(records, source=source, handle=handle, now=now)
+        if next_position is not None:
+            replica.advance(next_position)
+        try:
+            self._announce(replica, newer, now=now)
+        except Exception as error:
+            # The records are applied: reading them again would not mend this.
+            log.error(
+                "topic %s: records from %s not announced",
+                replica.topic,
+                source,
+                exc_info=error,
+            )
+
+    def _announce(
+        self, replica: TopicReplica, newer: list[KeyedRecord], *, now: float
+    ) -> None:
+        """Tell this node's parts and the followers of what was received."""
+        if newer:
+            self._send_to_followers(self._make_frame(replica, newer, now=now))
         if replica.topic == self._first_topic and replica.next_position is not None:
             self.selection.record_loaded(now=now)
             if self.on_loaded is not None:
                 self.on_loaded()
-        if newer:
-            self._send_to_followers(self._make_frame(replica, newer, now=now))
         self._check_era(replica)
 
+    def read_unapplied_again(self, *, now: float) -> None:
+        """Have the records that could not be applied read or sent again when due."""
+        source = self.selection.choice.node
+        for topic, replica in self.replicas.items():
+            reads_store = self.may_read[topic].is_set()
+            if not reads_store and source is None:
+                continue
+            start = replica.unapplied.take_due(now=now)
+            if start is None:
+                continue
+            if source is not None:
+                follow = FollowTopics(positions={topic: (start.era, start.offset)})
+                self._links.send(source, follow)
+            if reads_store and self.on_read_again is not None:
+                self.on_read_again(topic, start)
+
     def _check_era(self, replica: TopicReplica) -> None:
         """Handle the first records of a new era, which are all that the store has."""
         position = replica.next_position
@@ -230,18 +257,19 @@
             return
         now = asyncio.get_running_loop().time()
         is_source = remote.instance == self.selection.choice.node
+        next_position = None
         if is_source and _get_next(frame) != POSITION_UNKNOWN:
             # All records from the requested position on came before on this stream.
-            replica.advance(Position(era=frame.next_era, offset=frame.next_offset))
-        age_s = None if frame.age_ms == AGE_UNKNOWN else frame.age_ms / 1000
-        self.selection.record_status(remote.instance, age_s=age_s, now=now)
-        if age_s is None and is_source:
-            self.update(now=now)
+            next_position = Position(era=frame.next_era, offset=frame.next_offset)
         records = [
             KeyedRecord(key=key, value=value, position=Position(era=era, offset=offset))
             for key, value, era, offset in frame.items
         ]
-        self.receive(replica, records, remote.instance)
+        self.receive(replica, records, remote.instance, next_position)
+        age_s = None if frame.age_ms == AGE_UNKNOWN else frame.age_ms / 1000
+        self.selection.record_status(remote.instance, age_s=age_s, now=now)
+        if age_s is None and is_source:
+            self.update(now=now)
 
     def _make_follow(self) -> FollowTopics:
         positions = {
--- a/src/pimentoscale/store/__init__.py
+++ b/src/pimentoscale/store/__init__.py
@@ -9,8 +9,9 @@
     RecordStore,
     StoreError,
     StoreGapError,
+    format_position,
 )
-from pimentoscale.store.replica import TopicReplica, format_position
+from pimentoscale.store.replica import RecordHandler, TopicReplica
 from pimentoscale.store.watch import TopicWatcher
 
 __all__ = [
@@ -18,6 +19,7 @@
     "KeyedRecord",
     "NewestPage",
     "Position",
+    "RecordHandler",
     "RecordPage",
     "RecordStore",
     "StoreError",
--- a/src/pimentoscale/store/interface.py
+++ b/src/pimentoscale/store/interface.py
@@ -34,6 +34,11 @@
     offset: int
 
 
+def format_position(position: Position) -> str:
+    """Return a position as text for logs."""
+    return f"offset {position.offset} of era {position.era}"
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class KeyedRecord:
     """The record of one key; `value` is empty if the key was deleted.
--- a/src/pimentoscale/store/watch.py
+++ b/src/pimentoscale/store/watch.py
@@ -14,11 +14,13 @@
 from pimentoscale.store.interface import (
     KeyedRecord,
     Position,
+    RecordPage,
     RecordStore,
     StoreError,
     StoreGapError,
+    format_position,
 )
-from pimentoscale.store.replica import TopicReplica, format_position
+from pimentoscale.store.replica import TopicReplica
 from pimentoscale.suspension import read_boot_time
 
 # Delay after a failed call: doubled up to the maximum, with jitter.
@@ -34,7 +36,7 @@
 
 log = get_logger("store")
 
-RecordsReceiver = Callable[[TopicReplica, Iterable[KeyedRecord], str], None]
+RecordsReceiver = Callable[[TopicReplica, Iterable[KeyedRecord], str, Position], None]
 
 
 class TopicWatcher:
@@ -42,10 +44,11 @@
 
     It reads only while `may_read` is set. A call waits up to `wait_ms` for a record.
     `pause_s` is the minimum delay between two reads: records that are appended within
-    it are fetched by one call. `on_records` gets the records read, and `on_result`
-    whether a call succeeded, and when. `on_doubt` is called when an answer is overdue,
+    it are fetched by one call. `on_records` gets the records read and the position that
+    follows them, to which it advances the replica, and `on_result` whether a call
+    succeeded, and when. `on_doubt` is called when an answer is overdue,
     and when the store answers again, and `on_confirmed` with a moment on the boot-time
-    clock at which the store had no record that was not passed on. `get_phase` returns
+    clock at which the store had no record that was not applied. `get_phase` returns
     the part of a wait, from 0 to 1, by which the waits of this reader end before those
     of others.
     """
@@ -67,6 +70,7 @@
         "_replica",
         "_rng",
         "_scope",
+        "_start",
         "_store",
         "_wait_ms",
         "_woken",
@@ -107,6 +111,8 @@
         self._has_phase = False
         # Set if the newest records have to be read again.
         self._has_gap = False
+        # Where the next read begins if not at the replica's next position.
+        self._start: Position | None = None
         self._checked_at = -CHECK_PERIOD_S
         self._woken = asyncio.Event()
         # Ends the read in progress.
@@ -126,6 +132,21 @@
         position = self._replica.next_position
         return None if position is None else position.offset
 
+    @property
+    def unapplied(self) -> int:
+        """Return how many records were received and could not be applied."""
+        return len(self._replica.unapplied)
+
+    @property
+    def failures(self) -> int:
+        """Return how often a record could not be applied."""
+        return self._replica.unapplied.failures
+
+    def read_again(self, start: Position, *, now: float) -> None:
+        """Read the records from an earlier position again, now."""
+        self._start = start
+        self._read_now(now)
+
     def check(self, *, now: float) -> None:
         """Ask the store now: a read in progress may never be answered."""
         if now - self._checked_at < CHECK_PERIOD_S:
@@ -184,11 +205,14 @@
             except Exception as error:
                 # Nothing else reads the topic: the watch must go on.
                 self.errors += 1
+                self._on_result(False, loop.time())
                 log.error(
                     "topic %s: a read failed unexpectedly",
                     self._replica.topic,
                     exc_info=error,
                 )
+                # The same page may fail again; the newest records come another way.
+                self._has_gap = True
                 wait_s = BACKOFF_MAX_S
             await self._pause(wait_s)
 
@@ -225,23 +249,40 @@
                 return
 
     async def _read_once(self, wait_ms: int) -> None:
-        topic = self._replica.topic
         began = read_boot_time()
-        start = self._replica.next_position
+        start, self._start = self._start or self._replica.next_position, None
         if start is None or self._has_gap or start.era < self._store.era:
-            newest = await self._store.read_newest(topic=topic)
-            self._check_era(newest.next_position.era)
-            self._has_gap = False
-            self._replica.advance(newest.next_position)
-            self._on_records(self._replica, newest.items, "store")
-            self._confirm(began)
+            await self._read_newest(began)
             return
-        page = await self._store.read(topic=topic, offset=start.offset, wait_ms=wait_ms)
+        page = await self._store.read(
+            topic=self._replica.topic, offset=start.offset, wait_ms=wait_ms
+        )
         if page.era > start.era:
             # The offset was one of an earlier era.
             self._has_gap = True
             return
         self._check_era(page.era)
+        if page.records:
+            # All readers get a record at the same time, and start their waits then.
+            self._has_phase = False
+        next_position = Position(era=page.era, offset=page.next_offset)
+        self._on_records(self._replica, self._decode(page), "store", next_position)
+        if page.is_complete:
+            # The store has waited for records if it found none.
+            has_waited = not page.records and read_boot_time() - began >= wait_ms / 1000
+            self._confirm(began + wait_ms / 1000 if has_waited else began)
+
+    async def _read_newest(self, began: float) -> None:
+        """Read the newest record of each key; `began` is on the boot-time clock."""
+        newest = await self._store.read_newest(topic=self._replica.topic)
+        self._check_era(newest.next_position.era)
+        self._on_records(self._replica, newest.items, "store", newest.next_position)
+        self._replica.unapplied.retain({item.position for item in newest.items})
+        self._has_gap = False
+        self._confirm(began)
+
+    def _decode(self, page: RecordPage) -> list[KeyedRecord]:
+        """Return the records of a page without those that can't be read."""
         items: list[KeyedRecord] = []
         for index, data in enumerate(page.records):
             position = Position(era=page.era, offset=page.first_offset + index)
@@ -250,22 +291,14 @@
             except StoreError as error:
                 log.warning(
                     "topic %s: skipped record at %s: %s",
-                    topic,
+                    self._replica.topic,
                     format_position(position),
                     error,
                 )
-        if page.records:
-            # All readers get a record at the same time, and start their waits then.
-            self._has_phase = False
-        self._replica.advance(Position(era=page.era, offset=page.next_offset))
-        self._on_records(self._replica, items, "store")
-        if page.is_complete:
-            # The store has waited for records if it found none.
-            has_waited = not page.records and read_boot_time() - began >= wait_ms / 1000
-            self._confirm(began + wait_ms / 1000 if has_waited else began)
+        return items
 
     def _confirm(self, at: float) -> None:
-        if not self._store.has_unconfirmed_era:
+        if not self._store.has_unconfirmed_era and not self._replica.unapplied:
             self._on_confirmed(at)
 
     def _check_era(self, era: int) -> None:
@@ -316,7 +349,7 @@
             "topic %s: read given up after %.2f s for a check of the store: %s",
             self._replica.topic,
             now - began,
-            "no answer" if is_overdue else "another read had none",
+            "no answer" if is_overdue else "it is due",
         )
         if is_overdue:
             self._on_doubt(self)
--- a/tests/test_era.py
+++ b/tests/test_era.py
@@ -11,6 +11,7 @@
     StoreError,
     TopicReplica,
 )
+from tests.replicas import hold
 
 NUMBERS = st.integers(1, 3)
 
@@ -77,21 +78,21 @@
 
 def test_record_of_a_later_era_replaces_one_of_a_higher_offset() -> None:
     replica = TopicReplica(topic="t")
-    replica.apply([make_record(b"k", 1, 14)], source="store")
-    newer = replica.apply([make_record(b"k", 2, 6, b"older")], source="store")
+    hold(replica, [make_record(b"k", 1, 14)], source="store")
+    newer = hold(replica, [make_record(b"k", 2, 6, b"older")], source="store")
     assert [item.crosses_era for item in newer] == [True]
-    assert not replica.apply([make_record(b"k", 1, 15)], source="n2")
+    assert not hold(replica, [make_record(b"k", 1, 15)], source="n2")
 
 
 def test_record_that_the_store_has_lost_is_not_found_but_held() -> None:
     replica = TopicReplica(topic="t")
-    replica.apply([make_record(b"k", 1, 14)], source="store")
+    hold(replica, [make_record(b"k", 1, 14)], source="store")
     replica.advance(Position(era=1, offset=15))
     assert replica.find(b"k") is not None
     replica.advance(Position(era=2, offset=3))
     assert replica.find(b"k") is None
     assert replica.list_lost_keys() == [b"k"]
-    assert replica.apply([make_record(b"k", 2, 3)], source="store")
+    assert hold(replica, [make_record(b"k", 2, 3)], source="store")
     assert replica.find(b"k") is not None
 
 
@@ -108,10 +109,10 @@
 ) -> None:
     items = [make_record(key, era, offset) for key, era, offset in records]
     first, second = TopicReplica(topic="t"), TopicReplica(topic="t")
-    first.apply(items, source="store")
+    hold(first, items, source="store")
     order.shuffle(items)  # type: ignore[attr-defined]
     for item in items:
-        second.apply([item], source="peer")
+        hold(second, [item], source="peer")
     start = Position(era=0, offset=0)
     assert [item.position for item in first.list_since(start)] == [
         item.position for item in second.list_since(start)
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -60,6 +60,7 @@
 from pimentoscale.stream.connection import connect
 from pimentoscale.stream.frames import FRAMES
 from tests.addresses import HOST
+from tests.replicas import receive
 from tests.sidecars import Deployment, make_route, run_one_zone, wait_until
 from tests.test_platform import SETTINGS, make_announcement, make_configuration
 
@@ -909,7 +910,7 @@
             store=FailingStore(failures=2),  # type: ignore[arg-type]
             replica=replica,
             may_read=may_read,
-            on_records=lambda replica, records, source: None,
+            on_records=receive,
             on_result=lambda succeeded, now: None,
             wait_ms=0,
             pause_s=0.0,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -24,6 +24,7 @@
 from pimentoscale.store import KeyedRecord, Position, StoreError, TopicReplica
 from pimentoscale.stream import Hello, TopicRecords
 from pimentoscale.stream.frames import PROTOCOL_VERSION
+from tests.replicas import hold
 from tests.sidecars import Deployment, make_route, run_one_zone, wait_until
 
 ZONE = [f"n{index}" for index in range(40)]
@@ -177,8 +178,8 @@
     replica = TopicReplica(topic=MEMBERS)
     new = KeyedRecord(key=b"a", value=b"gone", position=make_position(7))
     old = KeyedRecord(key=b"a", value=b"alive", position=make_position(3))
-    assert replica.apply([new], source="store") == [new]
-    assert replica.apply([old], source="n2") == []
+    assert hold(replica, [new], source="store") == [new]
+    assert hold(replica, [old], source="n2") == []
     assert replica.list_since(START) == [new]
 
 
@@ -198,11 +199,11 @@
         for key, offset in offsets
     ]
     first, second = TopicReplica(topic="t"), TopicReplica(topic="t")
-    first.apply(records, source="store")
+    hold(first, records, source="store")
     shuffled = list(records)
     order.shuffle(shuffled)  # type: ignore[attr-defined]
     for record in shuffled:
-        second.apply([record], source="peer")
+        hold(second, [record], source="peer")
     assert first.list_since(START) == second.list_since(START)
 
 
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -9,6 +9,7 @@
 
 from pimentoscale.forwarding.node import Sidecar
 from pimentoscale.store import StoreError, TopicReplica, TopicWatcher
+from tests.replicas import receive
 from tests.sidecars import Deployment, make_route, run_deployment, wait_until
 
 MEMBERS = "keyed.members"
@@ -128,7 +129,7 @@
             store=store,  # type: ignore[arg-type]
             replica=TopicReplica(topic=MEMBERS),
             may_read=may_read,
-            on_records=lambda replica, records, source: None,
+            on_records=receive,
             on_result=lambda succeeded, now: None,
             wait_ms=4000,
             pause_s=0.0,
