Note progress after the work in the other places where it came first

- The own interface told its pauses and its lease that the log confirmed a page before the page was applied, and told the watchers of a version once: one that raised left them without it.
Now they are told again with the next page.
- A member that raised held up all others of its page, for ever.
Now it is counted (bad_announcements); it comes again with the next roster.
- A version of the routes was in force before all parts of the node were told; if one raised, the others never were.
Now they are told when it comes again.
- An era counted as handled before what the store had lost was written again.
- Steps of the log that fail are counted (log_step_errors).

--- a/src/pimentoscale/distribution/log_tasks.py
+++ b/src/pimentoscale/distribution/log_tasks.py
@@ -182,7 +182,7 @@
             match decode_roster(data):
                 case Ok(members):
                     for member in members:
-                        self._overlay.apply_member(member)
+                        self._apply_member(member)
                 case Err(reason):
                     log.warning("invalid membership record skipped: %s", reason)
         self._next_member_offset = max(
@@ -190,6 +190,14 @@
         )
         self._has_read_members = self._has_read_members or not page.records
 
+    def _apply_member(self, member: Member) -> None:
+        """Apply an announcement; one that raises comes again with the next roster."""
+        try:
+            self._overlay.apply_member(member)
+        except Exception as error:
+            self._state.metrics.count("bad_announcements")
+            log.error("member %s not applied", member.instance, exc_info=error)
+
     async def _read(self, topic: str, offset: int) -> RecordPage:
         """Return records from an offset on, or from the first that is retained."""
         try:
@@ -266,6 +274,7 @@
             log.debug("call to the store failed: %s", error)
         except Exception as error:
             # The task of the step must go on.
+            self._state.metrics.count("log_step_errors")
             log.error("step of the log tasks failed", exc_info=error)
         else:
             return True
--- a/src/pimentoscale/distribution/tree.py
+++ b/src/pimentoscale/distribution/tree.py
@@ -54,6 +54,8 @@
         self._child_offsets: dict[Connection, int] = {}
         self._child_zones: dict[Connection, str] = {}
         self._confirmed_at = -math.inf
+        # The last version of which all watchers were told.
+        self._version_in_force = self._replica.fold.version
         self._query_times: dict[int, float] = {}
         self._query_numbers = itertools.count(1)
         self.changed = asyncio.Event()
@@ -69,19 +71,21 @@
         self, *, first: int, records: list[bytes], requested_at: float
     ) -> bool:
         """Apply a page of the log; return False if records before it are missing."""
+        is_applied = self._apply(first=first, records=records, snapshot=b"")
         self._confirmed_at = max(self._confirmed_at, requested_at)
         self._pauses.confirm(requested_at=requested_at)
-        return self._apply(first=first, records=records, snapshot=b"")
+        return is_applied
 
     def _apply(self, *, first: int, records: list[bytes], snapshot: bytes) -> bool:
         fold = self._replica.fold
-        before, version = fold.next_offset, fold.version
+        before = fold.next_offset
         if not self._replica.apply(first=first, records=records, snapshot=snapshot):
             return False
         if fold.next_offset > before:
             self._propagate(before)
-        if fold.version > version:
+        if fold.version > self._version_in_force:
             self._bring_into_force()
+            self._version_in_force = fold.version
         return True
 
     def is_confirmed(self, *, now: float) -> bool:
@@ -188,10 +192,10 @@
     def _handle_records(self, frame: Records) -> None:
         """Apply records from a peer; fetch again if more are missing or may follow."""
         requested_at = self._query_times.pop(frame.query, -math.inf)
-        self._pauses.confirm(requested_at=requested_at)
         is_applied = self._apply(
             first=frame.first, records=frame.records, snapshot=frame.snapshot
         )
+        self._pauses.confirm(requested_at=requested_at)
         if not is_applied or len(frame.records) > 1:
             self.catch_up()
 
--- a/src/pimentoscale/forwarding/relay.py
+++ b/src/pimentoscale/forwarding/relay.py
@@ -130,9 +130,9 @@
             self._eras[replica.topic],
             len(replica.list_lost_keys()),
         )
-        self._eras[replica.topic] = position.era
         if self.on_new_era is not None:
             self.on_new_era(replica)
+        self._eras[replica.topic] = position.era
 
     def record_store_call(self, succeeded: bool, now: float) -> None:
         """Record the result of a call; tell the followers if it ends the reading."""
--- a/src/pimentoscale/forwarding/routes.py
+++ b/src/pimentoscale/forwarding/routes.py
@@ -52,6 +52,8 @@
         # that was newer than the one in force.
         self.stated_version = 0
         self._stated_at: float | None = None
+        # Set if a part of this node could not be told of the version in force.
+        self._has_untold_change = False
         self.on_change: Callable[[RouteTable], None] | None = None
 
     def apply_record(self, record: KeyedRecord) -> None:
@@ -70,6 +72,8 @@
                 pass
         old_version = self._state.version
         if self._state.table is not None and table.version <= old_version:
+            if table.version == old_version and self._has_untold_change:
+                self._tell_change(self._state.table)
             if table.version < old_version:
                 log.info(
                     "version %d from %s ignored: older than version %d in force",
@@ -93,9 +97,14 @@
             self._stated_at = None
         _log_changes(old_routes, table)
         _log_faults(table)
+        self._tell_change(table)
+        return True
+
+    def _tell_change(self, table: RouteTable) -> None:
+        self._has_untold_change = True
         if self.on_change is not None:
             self.on_change(table)
-        return True
+        self._has_untold_change = False
 
     def start_fetch(self, remote: Hello, version: int) -> None:
         """Fetch a newer version from a peer; after a running fetch if that fails."""
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -40,6 +40,7 @@
 from pimentoscale.membership import Member, MemberState
 from pimentoscale.membership.directory import Directory
 from pimentoscale.membership.member import decode_member, decode_roster, encode_member
+from pimentoscale.metrics import Metrics
 from pimentoscale.peering.overlay import Overlay
 from pimentoscale.platform.announcement import decode_announcement, decode_identity
 from pimentoscale.platform.configuration import decode_configuration
@@ -985,7 +986,7 @@
 
 def make_log_tasks() -> LogTasks:
     return LogTasks(
-        state=SimpleNamespace(),  # type: ignore[arg-type]
+        state=SimpleNamespace(metrics=Metrics()),  # type: ignore[arg-type]
         store=SimpleNamespace(),
         overlay=SimpleNamespace(own_watchers=[]),  # type: ignore[arg-type]
         distribution=SimpleNamespace(),  # type: ignore[arg-type]
@@ -1007,6 +1008,7 @@
     async def run() -> None:
         tasks = make_log_tasks()
         assert not await tasks._run_step(fail)
+        assert tasks._state.metrics.get_count("log_step_errors") == 1
         assert await tasks._run_step(succeed)
 
     asyncio.run(run())
