Let the soak write versions of up to 5,000 further routes

The soak's versions had a few routes; a fault that large versions alone show was out of its reach.

The operator's records may be larger than those of nodes in the stand-in of the store, as on the users' platform.

--- a/src/pimentoscale_bench/platform.py
+++ b/src/pimentoscale_bench/platform.py
@@ -38,6 +38,8 @@
 # An answer is sent in up to this many parts.
 MAX_PARTS = 4
 KEYED_PREFIX = "keyed."
+# Only the operator writes here, whose records may be larger.
+OPERATOR_TOPIC = "keyed.op"
 LENGTH = struct.Struct(">I")
 OFFSETS = struct.Struct(">QQ")
 ERA_HEADER = "store-era"
@@ -350,7 +352,8 @@
     topic = query["topic"]
     at = int(query["at"]) if "at" in query else None
     records = split_records(await request.body())
-    if any(len(record) > MAX_RECORD_BYTES for record in records):
+    is_limited = topic != OPERATOR_TOPIC
+    if is_limited and any(len(record) > MAX_RECORD_BYTES for record in records):
         return _make_json_response({"error": "a record is too large"}, 413)
     is_lost = service.faults.lost_answers > 0
     if is_lost:
--- a/src/pimentoscale_bench/soak/deployment.py
+++ b/src/pimentoscale_bench/soak/deployment.py
@@ -29,6 +29,9 @@
 SERVICES = ("a", "b", "c")
 ZONES = ("z1", "z2")
 HOST_NAME = "soak.example"
+FURTHER_HOST_NAME = "further.example"
+# Numbers of routes of another host in a version and those after it, in turn.
+FURTHER_ROUTES = (0, 0, 2000, 0, 500, 5000)
 SLOTS = 8
 # All below the range of ephemeral ports, which the system gives to outgoing
 # connections.
@@ -181,7 +184,10 @@
             "version": f"{self.version:08x}",
             "services": services,
             "limits": limits,
-            "hosts": [{"host": HOST_NAME, "paths": self.routes}],
+            "hosts": [
+                {"host": HOST_NAME, "paths": self.routes},
+                {"host": FURTHER_HOST_NAME, "paths": self._make_further_routes()},
+            ],
             "tenants": [
                 _make_organisation("usual", USUAL_KEY),
                 _make_organisation("leaving", self.leaving_keys[-1]),
@@ -196,6 +202,11 @@
             )
             answer.raise_for_status()
 
+    def _make_further_routes(self) -> list[dict[str, Any]]:
+        """Return the routes that no request uses, which set the size of the version."""
+        count = FURTHER_ROUTES[self.version % len(FURTHER_ROUTES)]
+        return [_make_route(f"further-{index}", SERVICES[0]) for index in range(count)]
+
     def add_route(self, service: str) -> str:
         """Add a route to the next version and return its name."""
         name = f"v{self.version + 1}"
