Wait for a version that is arriving instead of fetching it once more

Seen by callers: on a machine with a narrow link a version of 4,800 routes was in force 6.6 s after the others, and its other traffic waited behind it.

Cause: an answer of 0.9 MB takes 0.7 s at 10 Mbit/s, a fetch was given up after 0.5 s, and its answer still arrived. The next fetch came from another node, as did all records once the source counted as silent after 1.2 s: up to 12 copies on one link, each of which made the others later.

Change: a fetch waits while a frame arrives in parts, with pauses of up to 0.5 s, 5 s in all; a source of which a frame arrives is not silent.

--- a/src/pimentoscale/forwarding/links.py
+++ b/src/pimentoscale/forwarding/links.py
@@ -127,6 +127,11 @@
         peer = self._peers.get(name)
         return peer is not None and peer.is_up
 
+    def is_receiving(self, name: str, *, now: float) -> bool:
+        """Return whether a frame of a member is arriving in parts."""
+        peer = self._peers.get(name)
+        return peer is not None and peer.is_receiving(now=now)
+
     def close_idle(self, *, now: float) -> None:
         """Close the streams to other zones unused for longer than `IDLE_TIMEOUT_S`."""
         for name in list(self._peers):
--- a/src/pimentoscale/forwarding/relay.py
+++ b/src/pimentoscale/forwarding/relay.py
@@ -164,6 +164,10 @@
     def update(self, *, now: float) -> None:
         """Choose the source of the records anew, and use it."""
         previous = self.selection.choice
+        if previous.node is not None and self._links.is_receiving(
+            previous.node, now=now
+        ):
+            self.selection.record_receiving(previous.node, now=now)
         known = self._list_zone()
         reachable = [name for name in known if self._links.is_up(name)]
         choice = self.selection.choose(reachable, known=len(known), now=now)
--- a/src/pimentoscale/forwarding/routes.py
+++ b/src/pimentoscale/forwarding/routes.py
@@ -23,6 +23,9 @@
 # the store has not delivered it within this time.
 FETCH_DELAY_S = 0.1
 FETCH_TIMEOUT_S = 0.5
+# How long the answer may arrive in parts, as on a narrow link: with a fetch given up
+# halfway, the next one would only add to what is on the way.
+FETCH_RECEIVING_S = 5.0
 # Largest number of routes of a new version that are logged, one per line.
 MAX_CHANGE_LINES = 20
 
@@ -149,7 +152,11 @@
     async def _fetch_from(self, name: str, version: int) -> None:
         try:
             peer = await self._find_peer(name)
-            answer = await peer.query(FetchRoutes(query=0), timeout_s=FETCH_TIMEOUT_S)
+            answer = await peer.query(
+                FetchRoutes(query=0),
+                timeout_s=FETCH_TIMEOUT_S,
+                receiving_s=FETCH_RECEIVING_S,
+            )
         except (PeerUnreachableError, PeerLostError) as error:
             log.info(
                 "version %d could not be fetched from %s: %s", version, name, error
--- a/src/pimentoscale/forwarding/sources.py
+++ b/src/pimentoscale/forwarding/sources.py
@@ -21,7 +21,7 @@
 
 # Nodes of each zone that read the store.
 READERS = 2
-# A source must send something at least this often.
+# A source must send something at least this often, or a part of it.
 SILENT_S = 1.2
 # A source whose confirmation is older than this is unfit. Readers confirm every two
 # seconds, and each hop may add one period of the status messages. While one reader is
@@ -107,6 +107,11 @@
         else:
             self._confirm(now - age_s)
 
+    def record_receiving(self, name: str, *, now: float) -> None:
+        """Note that a message of the source is arriving in parts."""
+        if name == self.choice.node:
+            self._heard_at = now
+
     def record_store_call(self, *, succeeded: bool, now: float) -> None:
         """Record the result of a call to the store."""
         if succeeded:
--- a/src/pimentoscale/stream/codec.py
+++ b/src/pimentoscale/stream/codec.py
@@ -69,6 +69,11 @@
         self._buffer = bytearray()
         self.max_frame_bytes = max_frame_bytes
 
+    @property
+    def has_part(self) -> bool:
+        """Return whether a part of a frame has arrived."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes | bytearray) -> Iterator[Frame]:
         """Yield the frames that `data` completes.
 
--- a/src/pimentoscale/stream/connection.py
+++ b/src/pimentoscale/stream/connection.py
@@ -21,6 +21,8 @@
 from pimentoscale.stream.frames import PROTOCOL_VERSION, Frame, Hello
 
 HELLO_TIMEOUT_S = 2.0
+# Longest pause between two parts of a frame that is still arriving.
+RECEIVING_S = 0.5
 
 FrameHandler = Callable[[Frame], None]
 ConnectionHandler = Callable[["Connection"], Awaitable[None]]
@@ -70,6 +72,11 @@
             and not self._is_finished
         )
 
+    def is_receiving(self, *, now: float) -> bool:
+        """Return whether a frame is arriving in parts, the last one just now."""
+        is_recent = now - self.last_received_at <= RECEIVING_S
+        return self._reader.has_part and is_recent
+
     def send(self, frame: Frame) -> None:
         """Write a frame without waiting; drop it if the connection is closed.
 
--- a/src/pimentoscale/stream/peer.py
+++ b/src/pimentoscale/stream/peer.py
@@ -12,7 +12,7 @@
 from pimentoscale.logs import get_logger
 from pimentoscale.settings import Address
 from pimentoscale.stream.codec import FrameError
-from pimentoscale.stream.connection import Connection, connect
+from pimentoscale.stream.connection import RECEIVING_S, Connection, connect
 from pimentoscale.stream.errors import (
     PeerLostError,
     PeerSilentError,
@@ -131,6 +131,11 @@
         self._is_retired = True
         self._close_if_unused()
 
+    def is_receiving(self, *, now: float) -> bool:
+        """Return whether a frame is arriving in parts, the last one just now."""
+        connection = self._connection
+        return connection is not None and connection.is_receiving(now=now)
+
     @property
     def in_progress(self) -> int:
         """Return how many calls and queries wait for their answers."""
@@ -190,12 +195,14 @@
         frame: Query,
         *,
         timeout_s: float,
+        receiving_s: float = 0.0,
         waits_in_silence: bool = False,
         reports_silence: bool = False,
     ) -> Frame:
         """Send a query and return the frame that answers it.
 
-        With `waits_in_silence` it also waits while the other side is silent. Raises
+        While a frame is arriving in parts it waits for up to `receiving_s`. With
+        `waits_in_silence` it also waits while the other side is silent. Raises
         `PeerUnreachableError` (not sent), `PeerLostError` (connection lost, or no
         answer within `timeout_s`), or with `reports_silence` `PeerSilentError`.
         """
@@ -209,9 +216,19 @@
         if reports_silence:
             self._reporting.add(frame.query)
         connection.send(frame)  # type: ignore[arg-type]
-        expiry = Expiry(
-            expires_at=loop.time() + timeout_s, on_expired=partial(_time_out, answer)
-        )
+        ends_at = loop.time() + max(timeout_s, receiving_s)
+        expiry: Expiry
+
+        def expire() -> None:
+            nonlocal expiry
+            now = loop.time()
+            if now < ends_at and connection.is_receiving(now=now):
+                next_at = min(ends_at, now + RECEIVING_S)
+                expiry = Expiry(expires_at=next_at, on_expired=expire)
+            elif not answer.done():
+                answer.set_exception(TimeoutError())
+
+        expiry = Expiry(expires_at=loop.time() + timeout_s, on_expired=expire)
         try:
             return await answer
         except TimeoutError as error:
@@ -517,8 +534,3 @@
             pending.reply.set_exception(lost)
         elif pending.receiver is not None:
             pending.receiver.body.fail("the peer was lost")
-
-
-def _time_out(answer: "asyncio.Future[Frame]") -> None:
-    if not answer.done():
-        answer.set_exception(TimeoutError())
--- a/tests/test_version_fetch.py
+++ b/tests/test_version_fetch.py
@@ -23,7 +23,9 @@
 class SilentPeer:
     """A peer that gives no answer in time."""
 
-    async def query(self, frame: Frame, *, timeout_s: float) -> RoutesRecord:
+    async def query(
+        self, frame: Frame, *, timeout_s: float, **options: Any
+    ) -> RoutesRecord:
         await asyncio.sleep(timeout_s)
         raise PeerLostError("no answer")
 
@@ -36,7 +38,9 @@
         document["version"] = f"{version:08x}"
         self._data = json.dumps(document).encode()
 
-    async def query(self, frame: Frame, *, timeout_s: float) -> RoutesRecord:
+    async def query(
+        self, frame: Frame, *, timeout_s: float, **options: Any
+    ) -> RoutesRecord:
         return RoutesRecord(query=0, data=self._data)
 
 
