Read the newest records if a page has none though the topic goes on

A page without records that is not the last one made the reader ask again at once, without progress and without a line. The read now counts as failed, and the newest records are read in its place. The new test fails before.

--- a/src/pimentoscale/store/watch.py
+++ b/src/pimentoscale/store/watch.py
@@ -262,6 +262,9 @@
             self._has_gap = True
             return
         self._check_era(page.era)
+        if not page.records and not page.is_complete:
+            self._has_gap = True
+            raise StoreError(f"no record in the page from offset {start.offset} on")
         if page.records:
             # All readers get a record at the same time, and start their waits then.
             self._has_phase = False
--- a/tests/test_unapplied_records.py
+++ b/tests/test_unapplied_records.py
@@ -114,13 +114,59 @@
         return self.record
 
 
+class StuckStore(PageStore):
+    """A store whose reads have no record from the first offset on, though it has."""
+
+    def __init__(self) -> None:
+        self.newest_reads = 0
+        self.position = Position(era=1, offset=0)
+
+    async def read_newest(self, *, topic: str) -> NewestPage:
+        self.newest_reads += 1
+        if self.newest_reads == 1:
+            return NewestPage(items=[], next_position=self.position)
+        return await super().read_newest(topic=topic)
+
+    async def read(self, *, topic: str, offset: int, wait_ms: int) -> RecordPage:
+        await asyncio.sleep(0.01)
+        return RecordPage(
+            era=1, first_offset=offset, next_offset=offset, is_complete=bool(offset)
+        )
+
+
+def test_record_that_no_page_contains_is_read_with_the_newest() -> None:
+    received: list[KeyedRecord] = []
+
+    def receive(
+        replica: TopicReplica,
+        records: list[KeyedRecord],
+        source: str,
+        next_position: Position,
+    ) -> None:
+        received.extend(records)
+        replica.advance(next_position)
+
+    async def run() -> None:
+        store = StuckStore()
+        task = asyncio.create_task(make_watcher(receive, store=store).run())
+        await wait_until(lambda: bool(received))
+        assert store.newest_reads == 2
+        task.cancel()
+
+    asyncio.run(run())
+    assert received == [PageStore.record]
+
+
 def make_watcher(
-    on_records: Any, *, on_confirmed: Callable[[float], None] = lambda at: None
+    on_records: Any,
+    *,
+    store: PageStore | None = None,
+    on_confirmed: Callable[[float], None] = lambda at: None,
 ) -> TopicWatcher:
     may_read = asyncio.Event()
     may_read.set()
     return TopicWatcher(
-        store=PageStore(),  # type: ignore[arg-type]
+        store=store or PageStore(),  # type: ignore[arg-type]
         replica=TopicReplica(topic=MEMBERS),
         may_read=may_read,
         on_records=on_records,
