--- a/src/pimentoscale/forwarding/operator_interface.py
+++ b/src/pimentoscale/forwarding/operator_interface.py
@@ -105,7 +105,7 @@
             values[f"records_next_offset_{name}"] = (
                 UNKNOWN if offset is None else offset
             )
-            values[f"read_errors_{name}"] = watcher.errors
+            values[f"read_errors_{name}"] = watcher.failed_reads.errors
             values[f"records_unapplied_{name}"] = watcher.unapplied
             values[f"records_failed_{name}"] = watcher.failures
         for kind, calls in self._store.calls.items():
--- a/src/pimentoscale/store/watch.py
+++ b/src/pimentoscale/store/watch.py
@@ -6,11 +6,11 @@
 """
 
 import asyncio
-import logging
 import random
 from collections.abc import Callable, Iterable
 
 from pimentoscale.logs import get_logger
+from pimentoscale.store.failed_reads import FailedReads
 from pimentoscale.store.interface import (
     KeyedRecord,
     Position,
@@ -55,8 +55,6 @@
 
     __slots__ = (
         "_checked_at",
-        "_failed_reads",
-        "_failing_since",
         "_get_phase",
         "_has_gap",
         "_has_phase",
@@ -74,7 +72,7 @@
         "_store",
         "_wait_ms",
         "_woken",
-        "errors",
+        "failed_reads",
         "last_answer_at",
     )
 
@@ -104,8 +102,7 @@
         self._wait_ms = wait_ms
         self._pause_s = pause_s
         self._rng = rng
-        self._failed_reads = 0
-        self._failing_since = 0.0
+        self.failed_reads = FailedReads(topic=replica.topic)
         # Set if the next read does not wait, and if the one after it waits for less.
         self._is_checking = True
         self._has_phase = False
@@ -118,8 +115,6 @@
         # Ends the read in progress.
         self._scope: asyncio.Timeout | None = None
         self.last_answer_at: float | None = None
-        # Reads that failed in a way that no client of the store expects.
-        self.errors = 0
 
     @property
     def topic(self) -> str:
@@ -196,21 +191,16 @@
             except StoreError as error:
                 wait_s = backoff_s * self._rng.uniform(0.5, 1.5)
                 backoff_s = min(BACKOFF_MAX_S, 2 * backoff_s)
-                self._handle_failure(
-                    error, began=began, retry_s=wait_s, now=loop.time()
-                )
+                now = loop.time()
+                self._on_result(False, now)
+                self.failed_reads.add(error, began=began, retry_s=wait_s, now=now)
             except TimeoutError:
                 self._handle_end_of_read(began=began, now=loop.time())
                 wait_s = 0.0
             except Exception as error:
                 # Nothing else reads the topic: the watch must go on.
-                self.errors += 1
+                self.failed_reads.add_unexpected(error)
                 self._on_result(False, loop.time())
-                log.error(
-                    "topic %s: a read failed unexpectedly",
-                    self._replica.topic,
-                    exc_info=error,
-                )
                 # The same page may fail again; the newest records come another way.
                 self._has_gap = True
                 wait_s = BACKOFF_MAX_S
@@ -231,7 +221,7 @@
 
     def _choose_wait_ms(self) -> int:
         """Return how long the next read waits for records."""
-        if self._is_checking or self._failed_reads:
+        if self._is_checking or self.failed_reads.count:
             self._has_phase = False
             return 0
         if self._has_phase:
@@ -313,37 +303,9 @@
     def _handle_success(self, *, began: float, now: float) -> None:
         self.last_answer_at = now
         self._on_result(True, now)
-        if self._failed_reads:
-            log.info(
-                "topic %s: the store responds again: failed_reads=%d failing_s=%.2f "
-                "read_s=%.2f",
-                self._replica.topic,
-                self._failed_reads,
-                now - self._failing_since,
-                now - began,
-            )
-            self._failed_reads = 0
+        if self.failed_reads.end(began=began, now=now):
             self._on_doubt(self)
 
-    def _handle_failure(
-        self, error: StoreError, *, began: float, retry_s: float, now: float
-    ) -> None:
-        self._on_result(False, now)
-        self._failed_reads += 1
-        if self._failed_reads == 1:
-            self._failing_since = began
-        # The first line tells of a lost dependency, the others when it was tried.
-        log.log(
-            logging.WARNING if self._failed_reads == 1 else logging.INFO,
-            "topic %s: reading from the store failed, retrying: %s: "
-            "failed_reads=%d read_s=%.2f retry_s=%.2f",
-            self._replica.topic,
-            error,
-            self._failed_reads,
-            now - began,
-            retry_s,
-        )
-
     def _handle_end_of_read(self, *, began: float, now: float) -> None:
         """Handle the end of a read without an answer, which a check follows."""
         is_overdue = not self._is_checking
