--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -16,7 +16,8 @@
 from pimentoscale.http import HttpClient, HttpRequest, HttpResponse
 from pimentoscale.programs.sidecar import make_sidecar
 from pimentoscale.settings import Address
-from pimentoscale_bench.platform import StoreService, make_application
+from pimentoscale_bench.platform import make_application
+from pimentoscale_bench.store_service import StoreService
 from pimentoscale_bench.target import StandInTarget
 from tests.addresses import find_address
 
--- a/tests/test_large_versions.py
+++ b/tests/test_large_versions.py
@@ -10,7 +10,7 @@
 from pimentoscale.http.message import LARGE_BODY_BYTES, BodyBuffer
 from pimentoscale.platform.store import StoreClient
 from pimentoscale.store import Position
-from pimentoscale_bench.platform import (
+from pimentoscale_bench.store_service import (
     KILOBYTE,
     MAX_NEWEST_ITEMS,
     MAX_READ_KB,
