--- a/tests/test_unapplied_records.py
+++ b/tests/test_unapplied_records.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import Any
 
 import pytest
 from hypothesis import given
@@ -101,11 +100,15 @@
     has_unconfirmed_era = False
     record = KeyedRecord(key=b"k", value=b"v", position=Position(era=1, offset=0))
 
+    def __init__(self) -> None:
+        self.reads = 0
+
     async def read_newest(self, *, topic: str) -> NewestPage:
         next_position = Position(era=1, offset=1)
         return NewestPage(items=[self.record], next_position=next_position)
 
     async def read(self, *, topic: str, offset: int, wait_ms: int) -> RecordPage:
+        self.reads += 1
         await asyncio.sleep(0.01)
         records = [] if offset else [b"\x01kv"]
         return RecordPage(era=1, first_offset=offset, next_offset=1, records=records)
@@ -118,13 +121,13 @@
     """A store whose reads have no record from the first offset on, though it has."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.newest_reads = 0
-        self.position = Position(era=1, offset=0)
 
     async def read_newest(self, *, topic: str) -> NewestPage:
         self.newest_reads += 1
         if self.newest_reads == 1:
-            return NewestPage(items=[], next_position=self.position)
+            return NewestPage(items=[], next_position=self.record.position)
         return await super().read_newest(topic=topic)
 
     async def read(self, *, topic: str, offset: int, wait_ms: int) -> RecordPage:
@@ -134,31 +137,33 @@
         )
 
 
-def test_record_that_no_page_contains_is_read_with_the_newest() -> None:
-    received: list[KeyedRecord] = []
+class Receiver:
+    """Takes the records of reads as a node does; its first calls raise."""
+
+    def __init__(
+        self, *, failures: int = 0, handle: Handler = lambda record: None
+    ) -> None:
+        self.failures = failures
+        self.handle = handle
+        self.received: list[KeyedRecord] = []
 
-    def receive(
+    def __call__(
+        self,
         replica: TopicReplica,
         records: list[KeyedRecord],
         source: str,
         next_position: Position,
     ) -> None:
-        received.extend(records)
+        if self.failures:
+            self.failures -= 1
+            raise TypeError("unexpected")
+        self.received.extend(records)
+        replica.apply(records, source=source, handle=self.handle, now=0.0)
         replica.advance(next_position)
 
-    async def run() -> None:
-        store = StuckStore()
-        task = asyncio.create_task(make_watcher(receive, store=store).run())
-        await wait_until(lambda: bool(received))
-        assert store.newest_reads == 2
-        task.cancel()
-
-    asyncio.run(run())
-    assert received == [PageStore.record]
-
 
 def make_watcher(
-    on_records: Any,
+    receiver: Receiver,
     *,
     store: PageStore | None = None,
     on_confirmed: Callable[[float], None] = lambda at: None,
@@ -169,7 +174,7 @@
         store=store or PageStore(),  # type: ignore[arg-type]
         replica=TopicReplica(topic=MEMBERS),
         may_read=may_read,
-        on_records=on_records,
+        on_records=receiver,  # type: ignore[arg-type]
         on_result=lambda succeeded, now: None,
         on_confirmed=on_confirmed,
         wait_ms=0,
@@ -182,29 +187,29 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(watch, "BACKOFF_MAX_S", 0.01)
-    received: list[KeyedRecord] = []
-    calls = 0
+    receiver = Receiver(failures=1)
+
+    async def run() -> None:
+        task = asyncio.create_task(make_watcher(receiver).run())
+        await wait_until(lambda: bool(receiver.received))
+        task.cancel()
+
+    asyncio.run(run())
+    assert receiver.received == [PageStore.record]
 
-    def receive(
-        replica: TopicReplica,
-        records: list[KeyedRecord],
-        source: str,
-        next_position: Position,
-    ) -> None:
-        nonlocal calls
-        calls += 1
-        if calls == 1:
-            raise TypeError("unexpected")
-        received.extend(records)
-        replica.advance(next_position)
+
+def test_record_that_no_page_contains_is_read_with_the_newest() -> None:
+    receiver = Receiver()
+    store = StuckStore()
 
     async def run() -> None:
-        task = asyncio.create_task(make_watcher(receive).run())
-        await wait_until(lambda: calls > 1)
+        task = asyncio.create_task(make_watcher(receiver, store=store).run())
+        await wait_until(lambda: bool(receiver.received))
         task.cancel()
 
     asyncio.run(run())
-    assert received == [PageStore.record]
+    assert store.newest_reads == 2
+    assert receiver.received == [PageStore.record]
 
 
 async def read_metric(deployment: Deployment, machine: str, name: str) -> float:
@@ -356,31 +361,19 @@
     }
 
 
-def test_version_that_is_not_applied_is_not_confirmed(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_version_that_is_not_applied_is_not_confirmed() -> None:
     """Keys that it withdraws must not stay accepted."""
     confirmed: list[float] = []
-    applied: list[KeyedRecord] = []
-    handle: Handler = fail
-
-    def receive_by_handler(
-        replica: TopicReplica,
-        records: list[KeyedRecord],
-        source: str,
-        next_position: Position,
-    ) -> None:
-        replica.apply(records, source=source, handle=handle, now=0.0)
-        replica.advance(next_position)
+    receiver = Receiver(handle=fail)
+    store = PageStore()
 
     async def run() -> None:
-        nonlocal handle
-        watcher = make_watcher(receive_by_handler, on_confirmed=confirmed.append)
+        watcher = make_watcher(receiver, store=store, on_confirmed=confirmed.append)
         task = asyncio.create_task(watcher.run())
         await wait_until(lambda: watcher.unapplied == 1)
-        await asyncio.sleep(0.1)
+        await wait_until(lambda: store.reads > 2)
         assert not confirmed
-        handle = applied.append
+        receiver.handle = lambda record: None
         now = asyncio.get_running_loop().time()
         watcher.read_again(PageStore.record.position, now=now)
         await wait_until(lambda: bool(confirmed))
