--- a/src/pimentoscale/forwarding/explanation.py
+++ b/src/pimentoscale/forwarding/explanation.py
@@ -98,7 +98,7 @@
         self, request: HttpRequest, *, now: float, boot_time: float
     ) -> HttpResponse:
         """Return the explanation as JSON, or status 400 and what is wrong."""
-        match decode(_DECODER, request.body):
+        match decode(_DECODER, bytes(request.body)):
             case Err(reason):
                 text = f"the question can't be read: {reason}\n"
                 return HttpResponse(status=400, body=text.encode())
--- a/src/pimentoscale/forwarding/frames.py
+++ b/src/pimentoscale/forwarding/frames.py
@@ -1,5 +1,7 @@
 """Converts forwarded requests and their attempts to frames and back."""
 
+from typing import cast
+
 from pimentoscale.admission import Load
 from pimentoscale.errors import CallError, ErrorKind
 from pimentoscale.forwarding.exchange import (
@@ -42,7 +44,8 @@
         method=message.method,
         path=message.path,
         lines=message.encoded_headers,
-        body=message.body,
+        # Only encoded from here on, which takes either type.
+        body=cast(bytes, message.body),
         organisation=request.organisation,
         organisation_rank=request.organisation_rank,
         rate_limit=_encode_rate(stated),
@@ -95,7 +98,7 @@
         calls_others=attempt.calls_others,
         status=response.status if response else 0,
         lines=response.encoded_headers if response else b"",
-        body=response.body if response else b"",
+        body=cast(bytes, response.body) if response else b"",
         in_flight=load.in_flight,
         limit=load.limit,
         queue_ms=load.queue_ms,
--- a/src/pimentoscale/http/message.py
+++ b/src/pimentoscale/http/message.py
@@ -6,6 +6,9 @@
 import msgspec
 
 Header = tuple[bytes, bytes]
+# A large body is handed out as it was collected: a copy of each would add to the peak
+# of the memory. What keeps or compares parts of a body converts it to bytes.
+MessageBody = bytes | bytearray
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1), which are not forwarded.
 CONNECTION_HEADERS = frozenset(
@@ -71,7 +74,7 @@
 
     def __init__(self) -> None:
         # Most bodies are one part, which is kept without a copy.
-        self._data: bytes | bytearray = b""
+        self._data: MessageBody = b""
         self._parts = 0
 
     @property
@@ -95,11 +98,11 @@
         self._data = b""
         self._parts = 0
 
-    def take(self) -> bytes:
+    def take(self) -> MessageBody:
         """Return what has arrived and keep nothing of it."""
         data = self._data
         self.clear()
-        return bytes(data)
+        return data if len(data) > LARGE_BODY_BYTES else bytes(data)
 
 
 class HttpRequest(msgspec.Struct, kw_only=True):
@@ -113,7 +116,7 @@
     path: bytes
     headers: list[Header] = msgspec.field(default_factory=list)
     encoded_headers: bytes = b""
-    body: bytes = b""
+    body: MessageBody = b""
     connection_id: int = 0
 
     def find(self, name: bytes) -> bytes | None:
@@ -127,7 +130,7 @@
         """
         return self._encode_head() + self.body
 
-    def encode_parts(self) -> list[bytes]:
+    def encode_parts(self) -> list[MessageBody]:
         """Return the encoded request; a large body is a part of its own."""
         if len(self.body) > LARGE_BODY_BYTES:
             return [self._encode_head(), self.body]
@@ -155,7 +158,7 @@
     status: int
     headers: list[Header] = msgspec.field(default_factory=list)
     encoded_headers: bytes = b""
-    body: bytes = b""
+    body: MessageBody = b""
 
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
@@ -170,7 +173,7 @@
         head = self._encode_head(closes=closes)
         return head if to_head else head + self.body
 
-    def encode_parts(self, *, closes: bool, to_head: bool = False) -> list[bytes]:
+    def encode_parts(self, *, closes: bool, to_head: bool = False) -> list[MessageBody]:
         """Return the encoded response; a large body is a part of its own."""
         if len(self.body) > LARGE_BODY_BYTES and not to_head:
             return [self._encode_head(closes=closes), self.body]
--- a/src/pimentoscale/http/server_connection.py
+++ b/src/pimentoscale/http/server_connection.py
@@ -13,6 +13,7 @@
     Header,
     HttpRequest,
     HttpResponse,
+    MessageBody,
 )
 from pimentoscale.logs import get_logger
 from pimentoscale.memory import Holding, MemoryAccount
@@ -422,7 +423,7 @@
             if task is not None:
                 task.cancel()
 
-    def _write(self, *parts: bytes) -> None:
+    def _write(self, *parts: MessageBody) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._last_written = sum(map(len, parts))
             self._transport.writelines(parts)
--- a/src/pimentoscale/platform/announcement_handler.py
+++ b/src/pimentoscale/platform/announcement_handler.py
@@ -29,7 +29,7 @@
     A departure is acknowledged only if `secure_departure` returns True.
     """
     if request.method == b"PUT" and len(request.body) <= MAX_ANNOUNCEMENT_BYTES:
-        match decode_announcement(path=request.path, body=request.body):
+        match decode_announcement(path=request.path, body=bytes(request.body)):
             case Err(reason):
                 log.warning("rejected announcement of a target: %s", reason)
                 return HttpResponse(status=400, headers=_JSON, body=b"{}")
--- a/src/pimentoscale/platform/store.py
+++ b/src/pimentoscale/platform/store.py
@@ -123,7 +123,7 @@
         path += f"&wait_ms={wait_ms}"
         timeout_s = READ_TIMEOUT_S + wait_ms / 1000
         response, era = await self._call("read", path, b"", timeout_s)
-        return decode_page(response.body, offset=offset, era=era)
+        return decode_page(bytes(response.body), offset=offset, era=era)
 
     async def read_newest(self, *, topic: str) -> NewestPage:
         """Return the newest record of each key.
@@ -296,7 +296,7 @@
 
 
 def _decode(response: HttpResponse, answer_type: type[T]) -> T:
-    match decode(msgspec.json.Decoder(answer_type), response.body):
+    match decode(msgspec.json.Decoder(answer_type), bytes(response.body)):
         case Ok(answer):
             return answer
         case Err(reason):
--- a/src/pimentoscale_bench/target.py
+++ b/src/pimentoscale_bench/target.py
@@ -180,7 +180,7 @@
                 body = b"%b ran %b %b" % (
                     self.identity.encode(),
                     request.path,
-                    request.body,
+                    bytes(request.body),
                 )
                 signed = [*headers, (b"response-signature", b"s")]
                 response = HttpResponse(status=200, headers=signed, body=body)
